--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Commands of daily work. See CONTRIBUTING.md.
+
+.PHONY: build test generate lint bench
+
+build:
+	go build -o bin/heathergw ./cmd/heathergw
+
+# Tests with the race detector; one run per call, so that no result is cached.
+test:
+	go test -race -count=1 -timeout 20m ./...
+
+generate:
+	tools/generate.sh
+
+lint:
+	gofmt -l cmd internal schema
+	golangci-lint run --timeout 10m ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
