Add rendezvous candidates of a flow

Cause: entries and agents need one order of targets per flow that all processes with the same bundle agree on. Change: Candidates sorts by class (home data centre, others, draining) and by weighted rendezvous score; First finds only the head and skips the logarithm for targets whose upper bound is below the best score.

--- /dev/null
+++ b/internal/placement/candidates.go
@@ -0,0 +1,150 @@
+// Package placement decides which target serves a new flow: the ordered
+// candidates of a flow by rendezvous hashing, and the choice among them under
+// load. The code opens no socket, starts no goroutine and reads no clock.
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/dchest/siphash"
+
+	"github.com/heathergw/heathergw/internal/bundle"
+	"github.com/heathergw/heathergw/internal/packet"
+)
+
+// MaxTargets is the number of targets of one service up to which Candidates
+// needs no memory beyond dst.
+const MaxTargets = 64
+
+// Classes order the candidates before their scores do.
+const (
+	classHome uint8 = iota
+	classOther
+	classDraining
+)
+
+type scored struct {
+	target *bundle.Target
+	score  float64
+	class  uint8
+}
+
+func (s *scored) compare(o *scored) int {
+	if c := cmp.Compare(s.class, o.class); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(o.score, s.score); c != 0 {
+		return c
+	}
+	return cmp.Compare(s.target.ID, o.target.ID)
+}
+
+// Candidates appends the targets of a's service to dst in the candidate order
+// of the flow k: targets in the home data centre first when the service has a
+// spill-over threshold, draining targets last, and by weighted rendezvous
+// hashing within each class. The order is a function of the bundle and the key
+// only. It does not allocate when dst has the capacity.
+func Candidates(v *bundle.View, a *bundle.Address, k *packet.Key, dst []*bundle.Target) []*bundle.Target {
+	var buf [MaxTargets]scored
+	list := buf[:0]
+	hash := flowHash(v, k)
+	home := homeOf(a)
+	for _, t := range a.Service.Targets {
+		list = append(list, scored{t, score(uniform(hash, t.ID), t), classOf(t, home)})
+	}
+	slices.SortFunc(list, func(x, y scored) int { return x.compare(&y) })
+	for i := range list {
+		dst = append(dst, list[i].target)
+	}
+	return dst
+}
+
+// First returns the first candidate of the flow k that skip does not reject,
+// or nil. It is Candidates without the sort, for the entry's packet path; skip
+// may be nil and is called for few targets only. A nil result means that every
+// target was rejected or that the service has none.
+func First(v *bundle.View, a *bundle.Address, k *packet.Key, skip func(*bundle.Target) bool) *bundle.Target {
+	var best *bundle.Target
+	var bestScore float64
+	var bestClass uint8
+	hash := flowHash(v, k)
+	home := homeOf(a)
+	for _, t := range a.Service.Targets {
+		class := classOf(t, home)
+		if best != nil && class > bestClass {
+			continue
+		}
+		u := uniform(hash, t.ID)
+		if best != nil && class == bestClass && scoreBound(u, t) < bestScore {
+			continue
+		}
+		s := score(u, t)
+		// Targets are ordered by id, so the earlier one keeps a tie.
+		if best != nil && class == bestClass && s <= bestScore {
+			continue
+		}
+		if skip == nil || !skip(t) {
+			best, bestScore, bestClass = t, s, class
+		}
+	}
+	return best
+}
+
+// homeOf returns the preferred data centre of an address, or "" when the
+// service has no spill-over threshold and so no preference.
+func homeOf(a *bundle.Address) string {
+	if a.Service.Rules.SpillOverPercent == 0 {
+		return ""
+	}
+	return a.Home
+}
+
+func classOf(t *bundle.Target, home string) uint8 {
+	switch {
+	case t.Draining:
+		return classDraining
+	case home == "" || t.DataCentre == home:
+		return classHome
+	default:
+		return classOther
+	}
+}
+
+// flowHash is keyed because callers choose their ports: with a public hash
+// they could direct all their flows to one target.
+func flowHash(v *bundle.View, k *packet.Key) uint64 {
+	var buf [packet.MaxKeySize]byte
+	b, _ := k.AppendBinary(buf[:0])
+	return siphash.Hash(v.HashKey[0], v.HashKey[1], b)
+}
+
+// uniform returns a value in (0, 1) per flow and target. It uses 52 bits so
+// that adding a half is exact and the result never rounds to 1.
+func uniform(hash uint64, id uint32) float64 {
+	x := mix(hash ^ uint64(id)*0x9e3779b97f4a7c15)
+	return (float64(x>>12) + 0.5) / (1 << 52)
+}
+
+// score is w / -ln(u). The highest score wins with a probability proportional
+// to its weight, and a change of one target's weight leaves the order of the
+// others.
+func score(u float64, t *bundle.Target) float64 {
+	return -float64(t.Weight) / math.Log(u)
+}
+
+// scoreBound is an upper bound of score without a logarithm, by
+// -ln(u) >= 1-u. It is tight near u = 1, where the winners are; the margin
+// covers rounding.
+func scoreBound(u float64, t *bundle.Target) float64 {
+	return float64(t.Weight) * (1 + 1e-9) / (1 - u)
+}
+
+// mix is the finalizer of splitmix64. The keyed hash already makes its input
+// unpredictable, so a cheap bijection suffices per target.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
