Add entry and agent processes with direct delivery

Cause: the thin path needs both roles as processes before ownership and placement are built into them. Ruled out: a shared run loop for both roles; their planned stops differ. Change: internal/node (settings, keys, sockets, status), internal/entry (bounded owner cache, probes of silent agents, worker pool), internal/agent (direct delivery until the flow table lands), audit trail, command line; the datagram tag now covers one contiguous range.

--- /dev/null
+++ b/cmd/heathergw/main.go
@@ -0,0 +1,68 @@
+// Command heathergw is the one binary of the heathergw load balancer: it runs
+// the entry and agent roles and holds the operator's tools.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes.
+const (
+	exitFindings = 1
+	exitUsage    = 2
+	exitStart    = 3
+)
+
+// version is set by the linker when a release is built.
+var version = "development"
+
+func main() {
+	os.Exit(execute(context.Background(), os.Args))
+}
+
+func execute(ctx context.Context, args []string) int {
+	err := rootCommand().Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	var coder cli.ExitCoder
+	if errors.As(err, &coder) {
+		if text := coder.Error(); text != "" {
+			fmt.Fprintln(os.Stderr, text)
+		}
+		return coder.ExitCode()
+	}
+	fmt.Fprintln(os.Stderr, "heathergw:", err)
+	return exitUsage
+}
+
+func rootCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "heathergw",
+		Usage: "layer-4 load balancer driven by signed configuration bundles",
+		Description: "Exit codes: 0 success; 1 findings or a broken promise; " +
+			"2 usage or settings error; 3 start-up failure.",
+		Commands: []*cli.Command{
+			entryCommand(),
+			agentCommand(),
+			versionCommand(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, c *cli.Command) error {
+			_, err := fmt.Fprintln(c.Root().Writer, version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,305 @@
+// Package agent runs the agent role beside one target: it takes packets from
+// entries and other agents, carries out what the flow table decides, and
+// passes the host's return packets to the fabric.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/heathergw/heathergw/internal/audit"
+	"github.com/heathergw/heathergw/internal/bundle"
+	"github.com/heathergw/heathergw/internal/flow"
+	"github.com/heathergw/heathergw/internal/node"
+	"github.com/heathergw/heathergw/internal/wire"
+	"github.com/heathergw/heathergw/schema"
+)
+
+const (
+	tickInterval = 50 * time.Millisecond
+	// discardTime bounds how long queued datagrams are dropped after a pause.
+	discardTime = 20 * time.Millisecond
+)
+
+// Agent is an agent process.
+type Agent struct {
+	node     *node.Node
+	host     *wire.Socket
+	table    *direct
+	counters *counters
+	pause    *node.PauseWatch
+
+	hostAddress   netip.AddrPort
+	fabricAddress netip.AddrPort
+	discardUntil  atomic.Int64
+	sequence      atomic.Uint64
+}
+
+// New opens the sockets of an agent. Errors name the setting or the address
+// that cannot be used.
+func New(settings *schema.Settings, log *zap.Logger) (*Agent, error) {
+	hostAddress, err := netip.ParseAddrPort(settings.GetAgent().GetHostAddress())
+	if err != nil {
+		return nil, fmt.Errorf("agent.host_address: %w", err)
+	}
+	fabricAddress, err := netip.ParseAddrPort(settings.GetAgent().GetFabricAddress())
+	if err != nil {
+		return nil, fmt.Errorf("agent.fabric_address: %w", err)
+	}
+	n, err := node.New(settings, log)
+	if err != nil {
+		return nil, err
+	}
+	host, err := wire.Listen(settings.GetAgent().GetHostListen())
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("agent.host_listen: %w", err), n.Close())
+	}
+	seed, err := node.RandomKey()
+	if err != nil {
+		return nil, errors.Join(err, host.Close(), n.Close())
+	}
+	a := &Agent{
+		node:          n,
+		host:          host,
+		table:         newTable(settings, n.StartID, seed),
+		counters:      newCounters(n.Metrics),
+		hostAddress:   hostAddress,
+		fabricAddress: fabricAddress,
+	}
+	a.pause = node.NewPauseWatch(node.Clock(), a.resumed)
+	return a, nil
+}
+
+// SetView puts a bundle in force.
+func (a *Agent) SetView(v *bundle.View) {
+	a.sequence.Store(v.Sequence)
+	s := a.newSender()
+	a.table.SetView(v, node.Clock(), &s.actions)
+	s.perform()
+	s.flush()
+}
+
+// Run serves until ctx ends and the planned stop that follows is over: the
+// agent takes no new flows and goes on until its flows have ended or their
+// drain deadline has passed.
+func (a *Agent) Run(ctx context.Context) error {
+	stopped, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group run.Group
+	addActor(&group, stopped, stop, func(c context.Context) error { return a.awaitStop(ctx, c) })
+	addActor(&group, stopped, stop, func(c context.Context) error { return a.pause.Run(c, a.failureTimeout) })
+	addActor(&group, stopped, stop, a.tickLoop)
+	addActor(&group, stopped, stop, a.healthLoop)
+	addActor(&group, stopped, stop, func(c context.Context) error { return a.node.ServeStatus(c, a.statusHandler()) })
+	for range max(int(a.node.Settings.GetWorkers()), 1) {
+		group.Add(a.peerWorker, func(error) { _ = a.node.Peers.Close() })
+		group.Add(a.hostWorker, func(error) { _ = a.host.Close() })
+	}
+	err := group.Run()
+	return errors.Join(err, ignoreClosed(a.host.Close()), ignoreClosed(a.node.Close()))
+}
+
+func addActor(group *run.Group, ctx context.Context, stop func(), execute func(context.Context) error) {
+	group.Add(func() error { return execute(ctx) }, func(error) { stop() })
+}
+
+// Abort closes the sockets at once, as a crash would.
+func (a *Agent) Abort() {
+	_ = a.host.Close()
+	_ = a.node.Peers.Close()
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// awaitStop returns when a planned stop is complete.
+func (a *Agent) awaitStop(ctx, stopped context.Context) error {
+	select {
+	case <-stopped.Done():
+		return nil
+	case <-ctx.Done():
+	}
+	a.node.Log.Info("planned stop begins")
+	s := a.newSender()
+	a.table.Drain(node.Clock(), &s.actions)
+	s.perform()
+	s.flush()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for !a.table.Done(node.Clock()) {
+		select {
+		case <-stopped.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	a.node.Log.Info("planned stop complete")
+	return nil
+}
+
+func (a *Agent) resumed(gap time.Duration) {
+	a.discardUntil.Store(node.Clock() + int64(discardTime))
+	a.node.Log.Warn("process resumed after a pause", zap.Duration("pause", gap))
+}
+
+func (a *Agent) failureTimeout() time.Duration { return bundle.DefaultFailureTimeout }
+
+// tickLoop drives the timeouts of the flow table.
+func (a *Agent) tickLoop(ctx context.Context) error {
+	s := a.newSender()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			a.table.Tick(node.Clock(), &s.actions)
+			s.perform()
+			s.flush()
+		}
+	}
+}
+
+// stale reports whether datagrams read now queued while the process was
+// paused.
+func (a *Agent) stale(now int64, n int) bool {
+	a.pause.Check(now, a.failureTimeout())
+	if now >= a.discardUntil.Load() {
+		return false
+	}
+	a.counters.droppedAfterPause.Inc(int64(n))
+	return true
+}
+
+// peerWorker serves packets and control datagrams of other processes. Each
+// worker owns its parser and its buffers.
+func (a *Agent) peerWorker() error {
+	s := a.newSender()
+	messages := wire.NewReadBatch(wire.BatchSize)
+	for {
+		n, err := a.node.Peers.ReadBatch(messages)
+		if err != nil {
+			return ignoreClosed(err)
+		}
+		now := node.Clock()
+		if a.stale(now, n) {
+			continue
+		}
+		for i := range messages[:n] {
+			m := &messages[i]
+			a.fromPeer(s, m.Buffers[0][:m.N], wire.SourceOf(m), now)
+			s.perform()
+		}
+		s.flush()
+	}
+}
+
+func (a *Agent) fromPeer(s *sender, datagram []byte, from netip.AddrPort, now int64) {
+	kind, header, inner, err := a.node.Keys.Open(datagram)
+	if err != nil {
+		a.counters.badDatagram.Inc(1)
+		return
+	}
+	switch kind {
+	case wire.KindForward:
+		a.forwarded(s, header, inner, from, now)
+	case wire.KindControl:
+		m, err := wire.DecodeControl(header)
+		if err != nil {
+			a.counters.badDatagram.Inc(1)
+			return
+		}
+		a.table.Control(m, from, now, &s.actions)
+	default:
+		a.counters.badDatagram.Inc(1)
+	}
+}
+
+// forwarded passes a packet to the flow table. A header without a packet is a
+// bare probe.
+func (a *Agent) forwarded(s *sender, header, inner []byte, from netip.AddrPort, now int64) {
+	if err := s.header.Decode(header); err != nil {
+		a.counters.badDatagram.Inc(1)
+		return
+	}
+	if s.header.Flags&uint32(schema.ForwardFlag_FORWARD_FLAG_PROBE) != 0 {
+		a.answerProbe(from)
+	}
+	if len(inner) == 0 {
+		return
+	}
+	if err := s.parser.Parse(inner, &s.parsed); err != nil {
+		a.counters.unparsed(err)
+		return
+	}
+	a.table.FromPeer(&s.parsed, &s.header, from, now, &s.actions)
+}
+
+func (a *Agent) answerProbe(to netip.AddrPort) {
+	answer := &schema.Control{
+		SenderTargetId: a.node.Settings.GetAgent().GetTargetId(),
+		Body:           &schema.Control_ProbeAnswer{ProbeAnswer: a.table.ProbeAnswer()},
+	}
+	if err := a.node.SendControl(answer, a.sequence.Load(), to); err != nil {
+		a.counters.sendFailed.Inc(1)
+	}
+}
+
+// hostWorker passes return packets of the host to the flow table.
+func (a *Agent) hostWorker() error {
+	s := a.newSender()
+	messages := wire.NewReadBatch(wire.BatchSize)
+	for {
+		n, err := a.host.ReadBatch(messages)
+		if err != nil {
+			return ignoreClosed(err)
+		}
+		now := node.Clock()
+		for i := range messages[:n] {
+			m := &messages[i]
+			a.fromHost(s, m.Buffers[0][:m.N], now)
+			s.perform()
+		}
+		s.flush()
+	}
+}
+
+func (a *Agent) fromHost(s *sender, datagram []byte, now int64) {
+	inner, err := wire.OpenGRE(datagram)
+	if err != nil {
+		a.counters.badDatagram.Inc(1)
+		return
+	}
+	if err := s.parser.Parse(inner, &s.parsed); err != nil {
+		a.counters.unparsed(err)
+		return
+	}
+	a.table.FromHost(&s.parsed, now, &s.actions)
+}
+
+// record adds the table's changes to the audit trail.
+func (a *Agent) record(changes []flow.Change) {
+	for _, c := range changes {
+		a.node.Audit.Add(audit.Record{
+			Source:  a.node.Settings.GetName(),
+			Subject: c.Subject,
+			From:    c.From,
+			To:      c.To,
+			Reason:  c.Reason,
+			Outcome: audit.Accepted,
+		})
+	}
+}
--- /dev/null
+++ b/internal/entry/decide.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/dchest/siphash"
+
+	"github.com/heathergw/heathergw/internal/bundle"
+	"github.com/heathergw/heathergw/internal/packet"
+	"github.com/heathergw/heathergw/internal/placement"
+	"github.com/heathergw/heathergw/schema"
+)
+
+// outcome is the result of a decision; all but outcomeForward drop the packet.
+type outcome uint8
+
+const (
+	outcomeForward outcome = iota
+	outcomeNoBundle
+	outcomeNoService
+	outcomeNoTarget
+	outcomes
+)
+
+// decision names the agent that gets a packet.
+type decision struct {
+	view   *bundle.View
+	target *bundle.Target
+	// flags are schema.ForwardFlag bits for the forward header.
+	flags uint32
+}
+
+// decider chooses the agent for each packet. It is safe for concurrent use;
+// the view is read through an atomic pointer.
+type decider struct {
+	view  atomic.Pointer[bundle.View]
+	cache *ownerCache
+	reach *reachability
+	// hashKey keys the cache hash with a random value of this process.
+	hashKey [2]uint64
+}
+
+func newDecider(cacheFlows int, hashKey [2]uint64) *decider {
+	return &decider{
+		cache:   newOwnerCache(cacheFlows),
+		reach:   newReachability(),
+		hashKey: hashKey,
+	}
+}
+
+// decide chooses the agent for p. now is the monotonic clock in nanoseconds.
+//
+// An opening always goes to a candidate: it holds the registration when the
+// flow exists, while a cached owner may belong to an ended flow with the same
+// addresses and ports.
+func (d *decider) decide(p *packet.Packet, now int64) (decision, outcome) {
+	v := d.view.Load()
+	if v == nil {
+		return decision{}, outcomeNoBundle
+	}
+	address := v.Lookup(&p.Key)
+	if address == nil {
+		return decision{}, outcomeNoService
+	}
+	target := d.cachedOwner(v, address, p, now)
+	if target == nil {
+		target = d.firstCandidate(v, address, &p.Key, now)
+	}
+	if target == nil {
+		return decision{}, outcomeNoTarget
+	}
+	result := decision{view: v, target: target}
+	if d.reach.probe(target.ID, now) {
+		result.flags = uint32(schema.ForwardFlag_FORWARD_FLAG_PROBE)
+	}
+	return result, outcomeForward
+}
+
+// cachedOwner returns the cached owner if it is still a reachable target of
+// the service that the packet is meant for.
+func (d *decider) cachedOwner(v *bundle.View, address *bundle.Address, p *packet.Packet, now int64) *bundle.Target {
+	if p.IsOpening() {
+		return nil
+	}
+	id := d.cache.get(d.flowHash(&p.Key), seconds(now))
+	if id == 0 || d.reach.silent(id, now) {
+		return nil
+	}
+	target := v.Target(id)
+	if target == nil || target.Service != address.Service {
+		return nil
+	}
+	return target
+}
+
+// firstCandidate passes over silent targets. When all of them are silent the
+// alarm is more likely false than true, so the first candidate gets the packet.
+func (d *decider) firstCandidate(v *bundle.View, address *bundle.Address, k *packet.Key, now int64) *bundle.Target {
+	target := placement.First(v, address, k, func(t *bundle.Target) bool {
+		return d.reach.silent(t.ID, now)
+	})
+	if target == nil {
+		target = placement.First(v, address, k, nil)
+	}
+	return target
+}
+
+// learnOwner records an owner hint of an agent.
+func (d *decider) learnOwner(k *packet.Key, target uint32, now int64) {
+	hash := d.flowHash(k)
+	if target == 0 {
+		d.cache.remove(hash)
+		return
+	}
+	d.cache.put(hash, target, seconds(now))
+}
+
+func (d *decider) flowHash(k *packet.Key) uint64 {
+	var buf [packet.MaxKeySize]byte
+	b, _ := k.AppendBinary(buf[:0])
+	return max(siphash.Hash(d.hashKey[0], d.hashKey[1], b), 1)
+}
+
+func seconds(now int64) uint32 { return uint32(now / int64(time.Second)) }
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,284 @@
+// Package entry runs the entry role: it takes packets from the fabric and
+// forwards each to the agent of the flow's owner or first candidate. An entry
+// holds only state that it may lose at any time.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/heathergw/heathergw/internal/bundle"
+	"github.com/heathergw/heathergw/internal/node"
+	"github.com/heathergw/heathergw/internal/packet"
+	"github.com/heathergw/heathergw/internal/wire"
+	"github.com/heathergw/heathergw/schema"
+)
+
+const (
+	tickInterval = 200 * time.Millisecond
+	// discardTime bounds how long queued datagrams are dropped after a pause.
+	discardTime = 20 * time.Millisecond
+)
+
+// Entry is an entry process.
+type Entry struct {
+	node     *node.Node
+	fabric   *wire.Socket
+	decider  *decider
+	counters *counters
+	pause    *node.PauseWatch
+
+	// lastPacket is when the fabric last delivered a packet, for the planned
+	// stop.
+	lastPacket   atomic.Int64
+	discardUntil atomic.Int64
+	stopping     atomic.Bool
+}
+
+// New opens the sockets of an entry. Errors name the setting or the address
+// that cannot be used.
+func New(settings *schema.Settings, log *zap.Logger) (*Entry, error) {
+	n, err := node.New(settings, log)
+	if err != nil {
+		return nil, err
+	}
+	fabric, err := wire.Listen(settings.GetEntry().GetFabricListen())
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("entry.fabric_listen: %w", err), n.Close())
+	}
+	key, err := node.RandomKey()
+	if err != nil {
+		return nil, errors.Join(err, fabric.Close(), n.Close())
+	}
+	e := &Entry{
+		node:     n,
+		fabric:   fabric,
+		decider:  newDecider(int(settings.GetEntry().GetCacheFlows()), key),
+		counters: newCounters(n.Metrics),
+	}
+	e.pause = node.NewPauseWatch(node.Clock(), e.resumed)
+	return e, nil
+}
+
+// SetView puts a bundle in force.
+func (e *Entry) SetView(v *bundle.View) {
+	e.decider.view.Store(v)
+	e.decider.reach.prune(func(id uint32) bool { return v.Target(id) != nil })
+}
+
+// Run forwards packets until ctx ends and the planned stop that follows is
+// over: the entry goes on until no packet has arrived for the stop idle time,
+// because the fabric's view of live entries lags.
+func (e *Entry) Run(ctx context.Context) error {
+	stopped, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group run.Group
+	group.Add(func() error { return e.awaitStop(ctx, stopped) }, func(error) { stop() })
+	addActor(&group, stopped, stop, func(c context.Context) error { return e.pause.Run(c, e.failureTimeout) })
+	addActor(&group, stopped, stop, e.tickLoop)
+	addActor(&group, stopped, stop, func(c context.Context) error { return e.node.ServeStatus(c, e.statusHandler()) })
+	for range max(int(e.node.Settings.GetWorkers()), 1) {
+		group.Add(e.fabricWorker, func(error) { _ = e.fabric.Close() })
+	}
+	group.Add(e.peerWorker, func(error) { _ = e.node.Peers.Close() })
+	err := group.Run()
+	return errors.Join(err, ignoreClosed(e.fabric.Close()), ignoreClosed(e.node.Close()))
+}
+
+func addActor(group *run.Group, ctx context.Context, stop func(), execute func(context.Context) error) {
+	group.Add(func() error { return execute(ctx) }, func(error) { stop() })
+}
+
+// Abort closes the sockets at once, as a crash would.
+func (e *Entry) Abort() {
+	_ = e.fabric.Close()
+	_ = e.node.Peers.Close()
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// awaitStop returns when a planned stop is complete.
+func (e *Entry) awaitStop(ctx, stopped context.Context) error {
+	select {
+	case <-stopped.Done():
+		return nil
+	case <-ctx.Done():
+	}
+	e.stopping.Store(true)
+	e.node.Log.Info("planned stop begins")
+	settings := e.node.Settings.GetEntry()
+	idle, deadline := settings.GetStopIdle().AsDuration(), settings.GetStopDeadline().AsDuration()
+	end := node.Clock() + int64(deadline)
+	e.lastPacket.CompareAndSwap(0, node.Clock())
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for now := node.Clock(); now < end && now-e.lastPacket.Load() < int64(idle); now = node.Clock() {
+		select {
+		case <-stopped.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	e.node.Log.Info("planned stop complete")
+	return nil
+}
+
+// resumed drops what queued while the process was paused.
+func (e *Entry) resumed(gap time.Duration) {
+	e.discardUntil.Store(node.Clock() + int64(discardTime))
+	e.node.Log.Warn("process resumed after a pause", zap.Duration("pause", gap))
+}
+
+func (e *Entry) failureTimeout() time.Duration {
+	if v := e.decider.view.Load(); v != nil {
+		return v.FailureTimeout
+	}
+	return bundle.DefaultFailureTimeout
+}
+
+func (e *Entry) sequence() uint64 {
+	if v := e.decider.view.Load(); v != nil {
+		return v.Sequence
+	}
+	return 0
+}
+
+// fabricWorker reads batches from the fabric and forwards them. Each worker
+// owns its parser and its buffers.
+func (e *Entry) fabricWorker() error {
+	w := &worker{
+		entry: e,
+		peers: wire.NewWriteQueue(e.node.Peers, wire.BatchSize),
+		reply: wire.NewWriteQueue(e.fabric, 1),
+	}
+	messages := wire.NewReadBatch(wire.BatchSize)
+	for {
+		n, err := e.fabric.ReadBatch(messages)
+		if err != nil {
+			return ignoreClosed(err)
+		}
+		now := node.Clock()
+		e.pause.Check(now, e.failureTimeout())
+		if now < e.discardUntil.Load() {
+			e.counters.droppedAfterPause.Inc(int64(n))
+			continue
+		}
+		e.lastPacket.Store(now)
+		for i := range messages[:n] {
+			w.fromFabric(&messages[i], now)
+		}
+		w.peers.Flush()
+	}
+}
+
+// peerWorker reads control datagrams of agents and other processes.
+func (e *Entry) peerWorker() error {
+	messages := wire.NewReadBatch(wire.BatchSize)
+	for {
+		n, err := e.node.Peers.ReadBatch(messages)
+		if err != nil {
+			return ignoreClosed(err)
+		}
+		now := node.Clock()
+		for i := range messages[:n] {
+			m := &messages[i]
+			e.fromPeer(m.Buffers[0][:m.N], wire.SourceOf(m), now)
+		}
+	}
+}
+
+func (e *Entry) fromPeer(datagram []byte, from netip.AddrPort, now int64) {
+	kind, header, _, err := e.node.Keys.Open(datagram)
+	if err != nil || kind != wire.KindControl {
+		e.counters.badDatagram.Inc(1)
+		return
+	}
+	m, err := wire.DecodeControl(header)
+	if err != nil {
+		e.counters.badDatagram.Inc(1)
+		return
+	}
+	e.control(m, from, now)
+}
+
+func (e *Entry) control(m *schema.Control, _ netip.AddrPort, now int64) {
+	if m.GetSenderTargetId() != 0 {
+		e.decider.reach.heard(m.GetSenderTargetId(), now)
+	}
+	switch body := m.GetBody().(type) {
+	case *schema.Control_OwnerHint:
+		key, err := packet.KeyFromBinary(body.OwnerHint.GetFlowKey())
+		if err != nil {
+			e.counters.badDatagram.Inc(1)
+			return
+		}
+		e.counters.hints.Inc(1)
+		e.decider.learnOwner(&key, body.OwnerHint.GetOwnerTargetId(), now)
+		e.learnSilent(body.OwnerHint.GetSilentTargets(), now)
+	case *schema.Control_ProbeAnswer:
+		e.counters.probeAnswers.Inc(1)
+		e.learnSilent(body.ProbeAnswer.GetSilentTargets(), now)
+	}
+}
+
+func (e *Entry) learnSilent(targets []uint32, now int64) {
+	for _, id := range targets {
+		e.decider.reach.noticed(id, now)
+	}
+}
+
+// tickLoop probes silent targets, so that one that answers again is used.
+func (e *Entry) tickLoop(ctx context.Context) error {
+	queue := wire.NewWriteQueue(e.node.Peers, wire.BatchSize)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.probeSilent(queue, node.Clock())
+			queue.Flush()
+		}
+	}
+}
+
+func (e *Entry) probeSilent(queue *wire.WriteQueue, now int64) {
+	v := e.decider.view.Load()
+	if v == nil {
+		return
+	}
+	e.decider.reach.targets.Range(func(id uint32, _ *targetState) bool {
+		target := v.Target(id)
+		if target == nil || !e.decider.reach.silent(id, now) || !e.decider.reach.probe(id, now) {
+			return true
+		}
+		header := e.header(target, uint32(schema.ForwardFlag_FORWARD_FLAG_PROBE), v)
+		datagram := header.Append(wire.Begin(queue.Next(), wire.KindForward))
+		queue.Add(e.node.Keys.Finish(datagram, nil), target.Agent)
+		return true
+	})
+}
+
+func (e *Entry) header(target *bundle.Target, flags uint32, v *bundle.View) wire.Forward {
+	return wire.Forward{
+		ServiceID:      target.Service.ID,
+		BundleSequence: v.Sequence,
+		HopLimit:       wire.MaxHops,
+		Flags:          flags,
+		SenderStartID:  e.node.StartID,
+	}
+}
--- a/internal/wire/datagram.go
+++ b/internal/wire/datagram.go
@@ -4,9 +4,9 @@
 // A datagram is laid out as
 //
 //	offset size
-//	0      1    version (1)
-//	1      1    kind: 1 forward, 2 control
-//	2      8    SipHash-2-4 tag, little endian
+//	0      8    SipHash-2-4 tag, little endian
+//	8      1    version (1)
+//	9      1    kind: 1 forward, 2 control
 //	10     2    header length, big endian
 //	12     n    header: ForwardHeader or Control in protobuf wire format
 //	12+n   rest inner IP packet (forward only)
@@ -33,7 +33,8 @@
 
 const (
 	version         = 1
-	tagOffset       = 2
+	versionOffset   = 8
+	kindOffset      = 9
 	lengthOffset    = 10
 	headerOffset    = 12
 	taggedInnerSize = 64
@@ -76,35 +77,27 @@
 	return k, nil
 }
 
-func (k sipKey) tag(header, inner []byte) uint64 {
-	inner = inner[:min(len(inner), taggedInnerSize)]
-	// Two passes keep the inputs apart without a copy: the tag of the header
-	// keys the pass over the inner bytes.
-	h := siphash.Hash(k.k0, k.k1, header)
-	return siphash.Hash(k.k0^h, k.k1, inner)
+// tag covers version, kind, header and the first bytes of the inner packet.
+// headerEnd is the offset after the header.
+func (k sipKey) tag(datagram []byte, headerEnd int) uint64 {
+	end := min(len(datagram), headerEnd+taggedInnerSize)
+	return siphash.Hash(k.k0, k.k1, datagram[versionOffset:end])
 }
 
 // Begin appends the fixed part of a datagram of the given kind to b. The
 // caller appends the header and then calls Finish.
 func Begin(b []byte, kind Kind) []byte {
-	b = append(b, version, byte(kind))
-	return append(b, make([]byte, headerOffset-tagOffset)...)
+	return append(b, 0, 0, 0, 0, 0, 0, 0, 0, version, byte(kind), 0, 0)
 }
 
-// Finish writes the header length and the tag into a datagram made by Begin
-// with the header appended, and appends the inner packet.
+// Finish appends the inner packet to a datagram made by Begin with the header
+// appended, and writes the header length and the tag.
 func (k *Keyring) Finish(datagram, inner []byte) []byte {
-	binary.BigEndian.PutUint16(datagram[lengthOffset:], uint16(len(datagram)-headerOffset))
-	tag := k.keys[0].tagDatagram(datagram, inner)
-	binary.LittleEndian.PutUint64(datagram[tagOffset:], tag)
-	return append(datagram, inner...)
-}
-
-// tagDatagram computes the tag over kind, length and header. The bytes of the
-// tag itself are left out; version and kind enter through the key.
-func (k sipKey) tagDatagram(prefix, inner []byte) uint64 {
-	k.k1 ^= uint64(prefix[0])<<8 | uint64(prefix[1])
-	return k.tag(prefix[lengthOffset:], inner)
+	headerEnd := len(datagram)
+	binary.BigEndian.PutUint16(datagram[lengthOffset:], uint16(headerEnd-headerOffset))
+	datagram = append(datagram, inner...)
+	binary.LittleEndian.PutUint64(datagram, k.keys[0].tag(datagram, headerEnd))
+	return datagram
 }
 
 // Open checks a datagram and returns its kind, header and inner packet, which
@@ -113,18 +106,17 @@
 	if len(datagram) < headerOffset {
 		return 0, nil, nil, ErrShort
 	}
-	if datagram[0] != version {
+	if datagram[versionOffset] != version {
 		return 0, nil, nil, ErrVersion
 	}
 	end := headerOffset + int(binary.BigEndian.Uint16(datagram[lengthOffset:]))
 	if end > len(datagram) {
 		return 0, nil, nil, ErrShort
 	}
-	prefix, inner := datagram[:end], datagram[end:]
-	tag := binary.LittleEndian.Uint64(datagram[tagOffset:])
+	tag := binary.LittleEndian.Uint64(datagram)
 	for _, key := range k.keys {
-		if key.tagDatagram(prefix, inner) == tag {
-			return Kind(datagram[1]), prefix[headerOffset:], inner, nil
+		if key.tag(datagram, end) == tag {
+			return Kind(datagram[kindOffset]), datagram[headerOffset:end], datagram[end:], nil
 		}
 	}
 	return 0, nil, nil, ErrTag
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,135 @@
+package wire_test
+
+import (
+	"bytes"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/heathergw/heathergw/internal/wire"
+	"github.com/heathergw/heathergw/schema"
+)
+
+func keyring(t testing.TB, seeds ...byte) *wire.Keyring {
+	var keys [][]byte
+	for _, seed := range seeds {
+		keys = append(keys, bytes.Repeat([]byte{seed}, wire.FleetKeySize))
+	}
+	ring, err := wire.NewKeyring(keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ring
+}
+
+func drawForward(t *rapid.T) wire.Forward {
+	f := wire.Forward{
+		BundleSequence:  rapid.Uint64().Draw(t, "sequence"),
+		SenderStartID:   rapid.Uint64().Draw(t, "start"),
+		ServiceID:       rapid.Uint32().Draw(t, "service"),
+		Flags:           rapid.Uint32().Draw(t, "flags"),
+		SenderTargetID:  rapid.Uint32().Draw(t, "target"),
+		SenderBusySlots: rapid.Uint32().Draw(t, "busy"),
+		SenderConns:     rapid.Uint32().Draw(t, "connections"),
+		HopLimit:        rapid.Uint32Range(0, wire.MaxHops).Draw(t, "hops"),
+	}
+	ids := rapid.SliceOfNDistinct(rapid.Uint32Min(1), 0, wire.MaxVisited, rapid.ID[uint32]).Draw(t, "visited")
+	for _, id := range ids {
+		f.Visit(id)
+	}
+	return f
+}
+
+// Guards against drift between the schema and the allocation-free codec: each
+// must read what the other writes.
+func TestForwardMatchesSchema(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawForward(t)
+		m := &schema.ForwardHeader{}
+		if err := proto.Unmarshal(f.Append(nil), m); err != nil {
+			t.Fatal(err)
+		}
+		encoded, err := proto.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var decoded wire.Forward
+		if err := decoded.Decode(encoded); err != nil {
+			t.Fatal(err)
+		}
+		if decoded != f {
+			t.Fatalf("decoded %+v, want %+v", decoded, f)
+		}
+	})
+}
+
+// Guards against a spoofed or altered datagram: any changed byte up to the
+// 64th of the inner packet, or an unknown key, must be refused.
+func TestOpenRefusesAlteredDatagrams(t *testing.T) {
+	c := qt.New(t)
+	header := wire.Forward{ServiceID: 3, HopLimit: wire.MaxHops}
+	inner := bytes.Repeat([]byte{0x45}, 100)
+	datagram := keyring(t, 1).Finish(header.Append(wire.Begin(nil, wire.KindForward)), inner)
+	tagged := len(datagram) - len(inner) + 64
+	for i := range datagram[:tagged] {
+		altered := bytes.Clone(datagram)
+		altered[i] ^= 1
+		_, _, _, err := keyring(t, 1).Open(altered)
+		c.Check(err, qt.IsNotNil, qt.Commentf("byte %d", i))
+	}
+	_, _, _, err := keyring(t, 2).Open(datagram)
+	c.Check(err, qt.ErrorIs, wire.ErrTag)
+	kind, opened, rest, err := keyring(t, 2, 1).Open(datagram)
+	c.Assert(err, qt.IsNil, qt.Commentf("a key in rotation must be accepted"))
+	c.Check(kind, qt.Equals, wire.KindForward)
+	c.Check(opened, qt.DeepEquals, header.Append(nil))
+	c.Check(rest, qt.DeepEquals, inner)
+}
+
+// Guards against a panic or unbounded work on hostile datagrams and headers.
+func FuzzDatagram(f *testing.F) {
+	header := wire.Forward{ServiceID: 3, HopLimit: wire.MaxHops}
+	header.Visit(7)
+	ring := keyring(f, 1)
+	f.Add(ring.Finish(header.Append(wire.Begin(nil, wire.KindForward)), []byte{0x45}))
+	control, err := ring.SealControl(&schema.Control{Counter: 1, Body: &schema.Control_Heartbeat{Heartbeat: &schema.Heartbeat{}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(control)
+	f.Add(wire.AppendGRE(nil, []byte{0x60}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		_, _, _, _ = ring.Open(b)
+		_, _ = wire.OpenGRE(b)
+		_, _ = wire.DecodeControl(b)
+		var decoded wire.Forward
+		if decoded.Decode(b) != nil {
+			return
+		}
+		var again wire.Forward
+		if err := again.Decode(decoded.Append(nil)); err != nil || again != decoded {
+			t.Fatalf("header changes when encoded again: %+v, %+v, %v", decoded, again, err)
+		}
+	})
+}
+
+func BenchmarkForwardHeader(b *testing.B) {
+	ring := keyring(b, 1)
+	inner := make([]byte, 500)
+	header := wire.Forward{ServiceID: 3, BundleSequence: 900, HopLimit: wire.MaxHops, SenderStartID: 1 << 60}
+	buffer := make([]byte, 0, wire.MaxDatagramSize)
+	b.ReportAllocs()
+	for b.Loop() {
+		datagram := ring.Finish(header.Append(wire.Begin(buffer, wire.KindForward)), inner)
+		_, encoded, _, err := ring.Open(datagram)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var decoded wire.Forward
+		if err := decoded.Decode(encoded); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
