Add signed bundles, their order and the store of the bundle in force

Cause: entries, agents and dissemination need one definition of which bundle is greater, which is valid, and what is audited when one is offered.

Ruled out: the signature over the whole bundle (a receiver could not check a difference by sections); sequence and time inside the common section (every bundle would resend it); telling a fork from a skipped bundle by the digest of the predecessor alone (a process that was paused would audit a fork for every bundle that it missed), hence Manifest.predecessor_sequence.

Change: Sign, Parse, Verify with key endorsements (Ed25519ctx contexts keep the two kinds of signatures apart), Difference and Assemble, Order and Store. The store verifies before it replaces, records and counts every decision, and readers take one atomic pointer. A view keeps the targets that a bundle left out for their drain deadline (View.Retired, View.AnyTarget).

Conclusion: dissemination can use Store.Offer, OfferBytes and OfferResponse.

--- /dev/null
+++ b/internal/bundle/sign.go
@@ -0,0 +1,204 @@
+package bundle
+
+import (
+	"bytes"
+	"cmp"
+	"crypto"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/heathergw/heathergw/schema"
+)
+
+// Signature contexts (Ed25519ctx) keep a signature of one kind from being used
+// as one of another kind.
+const (
+	manifestContext    = "heathergw bundle manifest"
+	endorsementContext = "heathergw key endorsement"
+)
+
+// MaxEndorsements bounds the signature checks that one bundle can cause.
+const MaxEndorsements = 16
+
+// Sign signs the content of b on top of the predecessor, which is nil for
+// sequence 1 only. The predecessor's key endorsements are carried on, and the
+// given ones are added. Sign does not check the content; see Check. The error
+// is an OrderError, MalformedError or TooLargeError.
+func Sign(b *schema.Bundle, predecessor *Signed, key ed25519.PrivateKey, now time.Time, endorsements ...*schema.KeyEndorsement) (*Signed, error) {
+	if err := checkSequence(b.GetSequence(), predecessor); err != nil {
+		return nil, err
+	}
+	sections, err := split(b)
+	if err != nil {
+		return nil, err
+	}
+	manifest := &schema.Manifest{
+		Sequence:            b.GetSequence(),
+		SignedAtUnixSeconds: now.Unix(),
+		PredecessorSequence: predecessor.Version().Sequence,
+		Sections:            sectionDigests(sections),
+	}
+	all := slices.Clone(endorsements)
+	if predecessor != nil {
+		manifest.PredecessorDigest = predecessor.Digest[:]
+		all = append(slices.Clone(predecessor.Endorsements()), endorsements...)
+	}
+	signed, err := signManifest(manifest, key)
+	if err != nil {
+		return nil, err
+	}
+	signed.Endorsements = uniqueEndorsements(all)
+	if n := len(signed.Endorsements); n > MaxEndorsements {
+		return nil, MalformedError.New("the bundle carries %d key endorsements, at most %d are allowed", n, MaxEndorsements)
+	}
+	return checkSize(newSigned(signed, sections))
+}
+
+func checkSize(s *Signed, err error) (*Signed, error) {
+	if err != nil {
+		return nil, err
+	}
+	if n := len(s.Bytes()); n > MaxSize {
+		return nil, TooLargeError.New("the bundle has %d bytes, at most %d are allowed", n, MaxSize)
+	}
+	return s, nil
+}
+
+func checkSequence(sequence uint64, predecessor *Signed) error {
+	switch {
+	case sequence == 0 || sequence > MaxSequence:
+		return OrderError.New("sequence %d is not from 1 to %d", sequence, uint64(MaxSequence))
+	case predecessor == nil && sequence != 1:
+		return OrderError.New("sequence %d needs a predecessor; only sequence 1 has none", sequence)
+	case predecessor != nil && sequence <= predecessor.Sequence:
+		return OrderError.New("sequence %d is not higher than that of the predecessor, %d", sequence, predecessor.Sequence)
+	}
+	return nil
+}
+
+// split serializes the sections of b in the order of the manifest.
+func split(b *schema.Bundle) ([]*schema.Section, error) {
+	common := proto.CloneOf(b)
+	services := common.GetServices()
+	common.Services = nil
+	common.Sequence, common.PredecessorDigest, common.SignedAtUnixSeconds = 0, nil, 0
+	slices.SortStableFunc(services, func(a, b *schema.Service) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	content, err := deterministic.Marshal(common)
+	if err != nil {
+		return nil, MalformedError.New("section %q: %v", commonSection, err)
+	}
+	sections := []*schema.Section{{Name: commonSection, Content: content}}
+	for _, service := range services {
+		content, err := deterministic.Marshal(service)
+		if err != nil {
+			return nil, MalformedError.New("section %q: %v", sectionName(service), err)
+		}
+		sections = append(sections, &schema.Section{Name: sectionName(service), Content: content})
+	}
+	return sections, nil
+}
+
+func sectionDigests(sections []*schema.Section) []*schema.SectionDigest {
+	var digests []*schema.SectionDigest
+	for _, section := range sections {
+		sum := sha256.Sum256(section.GetContent())
+		digests = append(digests, &schema.SectionDigest{
+			Name: section.GetName(), Sha256: sum[:], SizeBytes: uint32(len(section.GetContent())),
+		})
+	}
+	return digests
+}
+
+func signManifest(m *schema.Manifest, key ed25519.PrivateKey) (*schema.SignedManifest, error) {
+	data, err := deterministic.Marshal(m)
+	if err != nil {
+		return nil, MalformedError.New("manifest: %v", err)
+	}
+	signature, err := signWith(key, data, manifestContext)
+	if err != nil {
+		return nil, err
+	}
+	return &schema.SignedManifest{Manifest: data, Signature: signature, PublicKey: publicKey(key)}, nil
+}
+
+func signWith(key ed25519.PrivateKey, message []byte, context string) ([]byte, error) {
+	if len(key) != ed25519.PrivateKeySize {
+		return nil, MalformedError.New("the private key has %d bytes, want %d", len(key), ed25519.PrivateKeySize)
+	}
+	return key.Sign(nil, message, &ed25519.Options{Hash: crypto.Hash(0), Context: context})
+}
+
+func publicKey(key ed25519.PrivateKey) ed25519.PublicKey {
+	return key.Public().(ed25519.PublicKey)
+}
+
+// Endorse lets the owner of an accepted key introduce another key. The error
+// is a MalformedError for a key of a wrong size.
+func Endorse(newKey ed25519.PublicKey, by ed25519.PrivateKey) (*schema.KeyEndorsement, error) {
+	if len(newKey) != ed25519.PublicKeySize {
+		return nil, MalformedError.New("the public key has %d bytes, want %d", len(newKey), ed25519.PublicKeySize)
+	}
+	signature, err := signWith(by, newKey, endorsementContext)
+	if err != nil {
+		return nil, err
+	}
+	return &schema.KeyEndorsement{PublicKey: newKey, SignedBy: publicKey(by), Signature: signature}, nil
+}
+
+func uniqueEndorsements(all []*schema.KeyEndorsement) []*schema.KeyEndorsement {
+	var unique []*schema.KeyEndorsement
+	for _, e := range all {
+		if !slices.ContainsFunc(unique, func(other *schema.KeyEndorsement) bool { return proto.Equal(e, other) }) {
+			unique = append(unique, e)
+		}
+	}
+	return unique
+}
+
+// Verify checks that a root key, or a key that endorsements lead to from a
+// root key, signed the manifest. The error is a SignatureError.
+func Verify(s *Signed, roots []ed25519.PublicKey) error {
+	key := s.PublicKey()
+	if len(s.Endorsements()) > MaxEndorsements {
+		return SignatureError.New("the bundle carries %d key endorsements, at most %d are allowed", len(s.Endorsements()), MaxEndorsements)
+	}
+	if !contains(acceptedKeys(roots, s.Endorsements()), key) {
+		return SignatureError.New("key %s is neither a root key nor endorsed by one", KeyName(key))
+	}
+	if !verifyWith(key, s.signed.GetManifest(), s.signed.GetSignature(), manifestContext) {
+		return SignatureError.New("the signature does not belong to key %s and this manifest", KeyName(key))
+	}
+	return nil
+}
+
+// acceptedKeys adds endorsed keys to the roots until no endorsement adds one,
+// because the endorsements may stand in any order.
+func acceptedKeys(roots []ed25519.PublicKey, endorsements []*schema.KeyEndorsement) []ed25519.PublicKey {
+	accepted := slices.Clone(roots)
+	for added := true; added; {
+		added = false
+		for _, e := range endorsements {
+			if contains(accepted, e.GetPublicKey()) || !contains(accepted, e.GetSignedBy()) {
+				continue
+			}
+			if verifyWith(e.GetSignedBy(), e.GetPublicKey(), e.GetSignature(), endorsementContext) {
+				accepted = append(accepted, e.GetPublicKey())
+				added = true
+			}
+		}
+	}
+	return accepted
+}
+
+func contains(keys []ed25519.PublicKey, key []byte) bool {
+	return slices.ContainsFunc(keys, func(k ed25519.PublicKey) bool { return bytes.Equal(k, key) })
+}
+
+func verifyWith(key, message, signature []byte, context string) bool {
+	return len(key) == ed25519.PublicKeySize && ed25519.VerifyWithOptions(
+		key, message, signature, &ed25519.Options{Hash: crypto.Hash(0), Context: context}) == nil
+}
--- /dev/null
+++ b/internal/bundle/store_test.go
@@ -0,0 +1,167 @@
+package bundle
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a wrong outcome, a missing audit record, and a bundle that is
+// replaced by a lower one.
+func TestOfferOutcomes(t *testing.T) {
+	first := mustSign(t, testBundle(1), nil, 1)
+	second := mustSign(t, after(first), first, 1)
+	third := mustSign(t, after(second), second, 1)
+	other := after(first)
+	other.Note = "another second bundle"
+	low, high := second, mustSign(t, other, first, 1)
+	if Compare(low, high) > 0 {
+		low, high = high, low
+	}
+	onLow, onHigh := mustSign(t, after(low), low, 1), mustSign(t, after(high), high, 1)
+	for _, tc := range []struct {
+		name      string
+		held, new *Signed
+		want      Outcome
+		inForce   bool
+	}{
+		{"first", nil, second, Applied, true},
+		{"next", first, second, Applied, true},
+		{"same", second, second, AlreadyHeld, false},
+		{"replayed", second, first, Lower, false},
+		{"skipped one", first, third, Gap, true},
+		{"same sequence, lower digest", high, low, Superseded, false},
+		{"same sequence, greater digest", low, high, Conflict, true},
+		{"on top of the loser", high, onLow, Fork, true},
+		{"on top of the winner", high, onHigh, Applied, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			var records []Decision
+			store := NewStore(StoreOptions{
+				Roots: testRoots(1), Now: func() time.Time { return testNow },
+				Record: func(d Decision) { records = append(records, d) },
+			})
+			if tc.held != nil {
+				_, err := store.Offer(tc.held, "settings")
+				c.Assert(err, qt.IsNil)
+			}
+			d, err := store.Offer(tc.new, "10.0.0.1:7000")
+			c.Assert(err, qt.IsNil)
+			c.Assert(d, qt.Equals, Decision{
+				Outcome: tc.want, Time: testNow, Source: "10.0.0.1:7000", From: tc.held.Version(), To: tc.new.Version(),
+				SignedBy: KeyName(publicKey(testKey(1))), Reason: d.Reason,
+			})
+			c.Assert(d.Reason, qt.Not(qt.Equals), "")
+			c.Assert(records[len(records)-1], qt.Equals, d)
+			c.Assert(d.InForce(), qt.Equals, tc.inForce)
+			c.Assert(store.Signed() == tc.new, qt.Equals, tc.inForce || tc.want == AlreadyHeld)
+			c.Assert(store.View().Version(), qt.Equals, store.Version())
+		})
+	}
+}
+
+// Guards against an unsigned bundle that the audit trail would show as a valid
+// one that lost, and against content that no process could compile.
+func TestOfferRefusesUnsignedLoserAndBadContent(t *testing.T) {
+	c := qt.New(t)
+	first := mustSign(t, testBundle(1), nil, 1)
+	store := testStore(1)
+	_, err := store.Offer(first, "platform")
+	c.Assert(err, qt.IsNil)
+	forged := testBundle(1)
+	for forged.Note = "x"; Compare(mustSign(t, forged, nil, 2), first) > 0; forged.Note += "x" {
+	}
+	d, err := store.Offer(mustSign(t, forged, nil, 2), "peer")
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(d.Outcome, qt.Equals, Refused)
+
+	bad := after(first)
+	bad.Services[0].Targets[0].AgentAddress = "nowhere"
+	d, err = store.Offer(mustSign(t, bad, first, 1), "peer")
+	c.Assert(err, qt.ErrorMatches, `bundle.content: services\[0\]: targets\[0\]: agent_address: .*`)
+	c.Assert(d.Outcome, qt.Equals, Refused)
+	c.Assert(store.Signed(), qt.Equals, first)
+}
+
+// Guards against flows of a removed target that lose their agent before the
+// drain deadline, and against targets that are kept for ever.
+func TestRetiredTargets(t *testing.T) {
+	c := qt.New(t)
+	now := testNow
+	store := NewStore(StoreOptions{Roots: testRoots(1), Now: func() time.Time { return now }})
+	offer := func(s *Signed) *View {
+		_, err := store.Offer(s, "platform")
+		c.Assert(err, qt.IsNil)
+		return store.View()
+	}
+	b := testBundle(1)
+	b.Services[0].Rules = rulesWithDrain(time.Minute)
+	first := mustSign(t, b, nil, 1)
+	before := offer(first).Target(10)
+
+	smaller := after(first)
+	smaller.Services[0].Targets = smaller.Services[0].Targets[1:]
+	second := mustSign(t, smaller, first, 1)
+	v := offer(second)
+	c.Assert(v.Target(10), qt.IsNil)
+	retired := v.AnyTarget(10)
+	c.Assert(retired.Agent, qt.Equals, before.Agent)
+	c.Assert(retired.RetiredUntil, qt.Equals, testNow.Add(time.Minute))
+	c.Assert(retired.Service, qt.Equals, v.Service(1))
+	c.Assert(retired.Draining, qt.IsTrue)
+	c.Assert(before.RetiredUntil.IsZero(), qt.IsTrue)
+
+	now = now.Add(30 * time.Second)
+	third := mustSign(t, after(second), second, 1)
+	c.Assert(offer(third).AnyTarget(10).RetiredUntil, qt.Equals, testNow.Add(time.Minute))
+
+	back := after(third)
+	back.Services[0].Targets = testBundle(1).Services[0].Targets
+	fourth := mustSign(t, back, third, 1)
+	c.Assert(offer(fourth).Retired, qt.HasLen, 0)
+	c.Assert(store.View().AnyTarget(10).RetiredUntil.IsZero(), qt.IsTrue)
+
+	without := after(fourth)
+	without.Services = without.Services[1:]
+	fifth := mustSign(t, without, fourth, 1)
+	c.Assert(offer(fifth).Retired, qt.HasLen, 3)
+	now = now.Add(time.Minute)
+	c.Assert(offer(mustSign(t, after(fifth), fifth, 1)).AnyTarget(10), qt.IsNil)
+}
+
+// Guards against readers that see a view and a bundle of different versions,
+// and against data races between offers and readers.
+func TestStoreConcurrentReaders(t *testing.T) {
+	store := testStore(1)
+	chain := []*Signed{mustSign(t, testBundle(1), nil, 1)}
+	for range 20 {
+		last := chain[len(chain)-1]
+		chain = append(chain, mustSign(t, after(last), last, 1))
+	}
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for _, s := range chain {
+				if _, err := store.Offer(s, "peer"); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+		wg.Go(func() {
+			var last Version
+			for range 1000 {
+				v := store.View().Version()
+				if v.Compare(last) < 0 {
+					t.Errorf("went from %s to %s", last, v)
+				}
+				last = v
+			}
+		})
+	}
+	wg.Wait()
+	qt.Assert(t, store.Signed(), qt.Equals, chain[20])
+	qt.Assert(t, store.Count(Applied)+store.Count(Gap), qt.Equals, uint64(21))
+}
--- a/internal/bundle/view.go
+++ b/internal/bundle/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
@@ -44,10 +45,15 @@
 	FailureTimeout      time.Duration
 	AntiEntropyInterval time.Duration
 
+	// Retired holds the targets of former bundles that this one left out, for
+	// the drain deadline of their service.
+	Retired []*Target
+
 	regions   map[string]string
 	addresses map[destination]*Address
 	services  map[uint32]*Service
 	targets   map[uint32]*Target
+	retired   map[uint32]*Target
 }
 
 type destination struct {
@@ -96,6 +102,9 @@
 	MaxConnections int
 	Weight         int
 	Draining       bool
+	// RetiredUntil is the time until which flows of a target that left the
+	// bundle may go on; zero for a target of the bundle.
+	RetiredUntil time.Time
 }
 
 // Lookup returns the service address that a caller's packet is meant for, or
@@ -110,6 +119,15 @@
 // Target returns the target with the id, or nil.
 func (v *View) Target(id uint32) *Target { return v.targets[id] }
 
+// Version returns the place of the bundle in the order; the zero value for a
+// nil view.
+func (v *View) Version() Version {
+	if v == nil {
+		return Version{}
+	}
+	return Version{v.Sequence, v.Digest}
+}
+
 // Region returns the region of a data centre, or "".
 func (v *View) Region(dataCentre string) string { return v.regions[dataCentre] }
 
@@ -191,6 +209,12 @@
 	if err != nil {
 		return fmt.Errorf("ip: %w", err)
 	}
+	if ip.Is4In6() || ip.Zone() != "" {
+		return fmt.Errorf("ip: %s never stands in a packet", ip)
+	}
+	if m.GetPort() == 0 || m.GetPort() > math.MaxUint16 {
+		return fmt.Errorf("port: %d is not from 1 to %d", m.GetPort(), math.MaxUint16)
+	}
 	a := &Address{
 		Service:  s,
 		AddrPort: netip.AddrPortFrom(ip, uint16(m.GetPort())),
