Connect both roles to the bundle store and its dissemination

Cause: processes had no source of bundles; the thin path needs the bundle from the platform. Ruled out: reading the platform in every process, which 2,740 processes may not do (2,000 reads a second for all). Change: node opens the stream listener on the datagram port, runs the dissemination runner, follows bundles in force, and drops replayed control datagrams with a window of 64 counters per sender start.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -97,6 +97,8 @@
 	addActor(&group, stopped, stop, func(c context.Context) error { return a.awaitStop(ctx, c) })
 	addActor(&group, stopped, stop, func(c context.Context) error { return a.pause.Run(c, a.failureTimeout) })
 	addActor(&group, stopped, stop, a.tickLoop)
+	addActor(&group, stopped, stop, a.node.Runner.Run)
+	addActor(&group, stopped, stop, func(c context.Context) error { return a.node.FollowViews(c, a.SetView) })
 	addActor(&group, stopped, stop, a.healthLoop)
 	addActor(&group, stopped, stop, func(c context.Context) error { return a.node.ServeStatus(c, node.StatusHandler(a.Status)) })
 	for range max(int(a.node.Settings.GetWorkers()), 1) {
@@ -217,11 +219,12 @@
 	case wire.KindForward:
 		a.forwarded(s, header, inner, from, now)
 	case wire.KindControl:
-		m, err := wire.DecodeControl(header)
+		m, err := a.node.OpenControl(header)
 		if err != nil {
 			a.counters.badDatagram.Inc(1)
 			return
 		}
+		a.node.Runner.HandleControl(from, m)
 		a.table.Control(m, from, now, &s.actions)
 	default:
 		a.counters.badDatagram.Inc(1)
@@ -235,6 +238,7 @@
 		a.counters.badDatagram.Inc(1)
 		return
 	}
+	a.node.Runner.ObserveSequence(from, s.header.BundleSequence)
 	if s.header.Flags&uint32(schema.ForwardFlag_FORWARD_FLAG_PROBE) != 0 {
 		a.answerProbe(from)
 	}
@@ -249,13 +253,8 @@
 }
 
 func (a *Agent) answerProbe(to netip.AddrPort) {
-	answer := &schema.Control{
-		SenderTargetId: a.node.Settings.GetAgent().GetTargetId(),
-		Body:           &schema.Control_ProbeAnswer{ProbeAnswer: a.table.ProbeAnswer()},
-	}
-	if err := a.node.SendControl(answer, a.sequence.Load(), to); err != nil {
-		a.counters.sendFailed.Inc(1)
-	}
+	answer := &schema.Control{Body: &schema.Control_ProbeAnswer{ProbeAnswer: a.table.ProbeAnswer()}}
+	a.node.SendControl(answer, to)
 }
 
 // hostWorker passes return packets of the host to the flow table.
--- a/internal/agent/counters.go
+++ b/internal/agent/counters.go
@@ -14,7 +14,6 @@
 	fragments         tally.Counter
 	malformed         tally.Counter
 	droppedAfterPause tally.Counter
-	sendFailed        tally.Counter
 	healthFailed      tally.Counter
 }
 
@@ -27,7 +26,6 @@
 		fragments:         drop("fragment"),
 		malformed:         drop("malformed"),
 		droppedAfterPause: drop("paused"),
-		sendFailed:        scope.Counter("agent_send_failed"),
 		healthFailed:      scope.Counter("agent_health_failed"),
 	}
 }
--- a/internal/agent/sender.go
+++ b/internal/agent/sender.go
@@ -44,9 +44,7 @@
 		s.host.Add(wire.AppendGRE(s.host.Next(), p), a.fabricAddress)
 	}
 	for _, c := range s.actions.Controls {
-		if err := a.node.SendControl(c.Message, a.sequence.Load(), c.To); err != nil {
-			a.counters.sendFailed.Inc(1)
-		}
+		a.node.SendControl(c.Message, c.To)
 	}
 	a.record(s.actions.Changes)
 	s.actions.Reset()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,6 +84,8 @@
 	group.Add(func() error { return e.awaitStop(ctx, stopped) }, func(error) { stop() })
 	addActor(&group, stopped, stop, func(c context.Context) error { return e.pause.Run(c, e.failureTimeout) })
 	addActor(&group, stopped, stop, e.tickLoop)
+	addActor(&group, stopped, stop, e.node.Runner.Run)
+	addActor(&group, stopped, stop, func(c context.Context) error { return e.node.FollowViews(c, e.SetView) })
 	addActor(&group, stopped, stop, func(c context.Context) error { return e.node.ServeStatus(c, node.StatusHandler(e.Status)) })
 	for range max(int(e.node.Settings.GetWorkers()), 1) {
 		group.Add(e.fabricWorker, func(error) { _ = e.fabric.Close() })
@@ -149,13 +151,6 @@
 	return bundle.DefaultFailureTimeout
 }
 
-func (e *Entry) sequence() uint64 {
-	if v := e.decider.view.Load(); v != nil {
-		return v.Sequence
-	}
-	return 0
-}
-
 // fabricWorker reads batches from the fabric and forwards them. Each worker
 // owns its parser and its buffers.
 func (e *Entry) fabricWorker() error {
@@ -206,7 +201,7 @@
 		e.counters.badDatagram.Inc(1)
 		return
 	}
-	m, err := wire.DecodeControl(header)
+	m, err := e.node.OpenControl(header)
 	if err != nil {
 		e.counters.badDatagram.Inc(1)
 		return
@@ -214,7 +209,8 @@
 	e.control(m, from, now)
 }
 
-func (e *Entry) control(m *schema.Control, _ netip.AddrPort, now int64) {
+func (e *Entry) control(m *schema.Control, from netip.AddrPort, now int64) {
+	e.node.Runner.HandleControl(from, m)
 	if m.GetSenderTargetId() != 0 {
 		e.decider.reach.heard(m.GetSenderTargetId(), now)
 	}
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -28,6 +28,7 @@
 func testSettings() *schema.Settings {
 	return &schema.Settings{
 		Name: "entry-1", DataCentre: "dc1", Listen: "127.0.0.1:0", Workers: relayWorkers, InnerMtuBytes: 1400,
+		SeedPeers: []string{"127.0.0.1:1"},
 		FleetKeys: []string{base64.StdEncoding.EncodeToString(make([]byte, wire.FleetKeySize))},
 		Role: &schema.Settings_Entry{Entry: &schema.EntrySettings{
 			FabricListen: "127.0.0.1:0", CacheFlows: benchmarkFlows,
--- /dev/null
+++ b/internal/node/bundles.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/heathergw/heathergw/internal/audit"
+	"github.com/heathergw/heathergw/internal/bundle"
+	"github.com/heathergw/heathergw/internal/dissemination"
+	"github.com/heathergw/heathergw/internal/platform"
+	"github.com/heathergw/heathergw/schema"
+)
+
+// openBundles prepares the store and its dissemination.
+func (n *Node) openBundles(fleetKeys [][]byte) error {
+	roots, err := n.rootKeys()
+	if err != nil {
+		return err
+	}
+	n.Store = bundle.NewStore(bundle.StoreOptions{Roots: roots, Now: time.Now, Record: n.recordDecision})
+	seeds, err := parseAddresses("seed_peers", n.Settings.GetSeedPeers())
+	if err != nil {
+		return err
+	}
+	config := dissemination.RunnerConfig{
+		Core: dissemination.Config{
+			Name:       n.Settings.GetName(),
+			DataCentre: n.Settings.GetDataCentre(),
+			Region:     n.Settings.GetRegion(),
+			Address:    n.Peers.Address(),
+			Entry:      n.Settings.GetEntry() != nil,
+			Seeds:      seeds,
+			RandomSeed: n.StartID,
+		},
+		FleetKeys: fleetKeys,
+		Listener:  n.streams,
+		Store:     n.Store,
+		BundleKey: n.Settings.GetPlatform().GetBundleKey(),
+		VMListKey: n.Settings.GetPlatform().GetVmListKey(),
+		Send:      func(to netip.AddrPort, m *schema.Control) { n.SendControl(m, to) },
+		Audit:     n.Audit,
+		Metrics:   n.Metrics,
+		Clock:     func() time.Duration { return time.Duration(Clock()) },
+	}
+	if url := n.Settings.GetPlatform().GetUrl(); url != "" {
+		if config.Platform, err = platform.New(url, n.Metrics); err != nil {
+			return fmt.Errorf("platform.url: %w", err)
+		}
+	}
+	n.Runner, err = dissemination.NewRunner(config)
+	return err
+}
+
+func (n *Node) rootKeys() ([]ed25519.PublicKey, error) {
+	const field = "bundle_public_keys"
+	decoded, err := decodeKeys(field, n.Settings.GetBundlePublicKeys())
+	if err != nil {
+		return nil, err
+	}
+	var roots []ed25519.PublicKey
+	for i, key := range decoded {
+		if len(key) != ed25519.PublicKeySize {
+			return nil, fmt.Errorf("%s[%d]: key has %d bytes, want %d", field, i, len(key), ed25519.PublicKeySize)
+		}
+		roots = append(roots, key)
+	}
+	return roots, nil
+}
+
+func parseAddresses(field string, texts []string) ([]netip.AddrPort, error) {
+	var addresses []netip.AddrPort
+	for i, text := range texts {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, fmt.Errorf("%s[%d]: %w", field, i, err)
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
+
+// recordDecision runs under the store's lock; it only records and signals.
+func (n *Node) recordDecision(d bundle.Decision) {
+	outcome := audit.Refused
+	if d.InForce() {
+		outcome = audit.Accepted
+		select {
+		case n.viewChanged <- struct{}{}:
+		default: // a signal is already waiting
+		}
+	}
+	n.Audit.Add(audit.Record{
+		Source: d.Source, Subject: "bundle", From: d.From.String(), To: d.To.String(),
+		Reason: d.Outcome.String() + ": " + d.Reason, Outcome: outcome,
+	})
+}
+
+// FollowViews calls set with each new bundle in force until ctx ends.
+func (n *Node) FollowViews(ctx context.Context, set func(*bundle.View)) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.viewChanged:
+			set(n.Store.View())
+		}
+	}
+}
+
+// Ready reports whether the process has looked for the newest bundle.
+func (n *Node) Ready() bool { return n.Runner.Status().Ready }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,8 @@
 	"go.uber.org/zap"
 
 	"github.com/heathergw/heathergw/internal/audit"
+	"github.com/heathergw/heathergw/internal/bundle"
+	"github.com/heathergw/heathergw/internal/dissemination"
 	"github.com/heathergw/heathergw/internal/wire"
 	"github.com/heathergw/heathergw/schema"
 )
@@ -44,66 +46,104 @@
 	Peers *wire.Socket
 	// StartID differs at every start of a process.
 	StartID uint64
-
-	counter atomic.Uint64
+	// Store holds the bundle in force.
+	Store *bundle.Store
+	// Runner spreads bundles among the processes.
+	Runner *dissemination.Runner
+
+	replay      *replayFilter
+	viewChanged chan struct{}
+	counter     atomic.Uint64
+	streams     net.Listener
 	// statusListener is nil when the settings name no status address.
 	statusListener net.Listener
-	registry       *prom.Registry
-	metricsServer  http.Handler
-	closeMetrics   io.Closer
+
+	registry      *prom.Registry
+	metricsServer http.Handler
+	closeMetrics  io.Closer
+	sendFailed    tally.Counter
+	controlBytes  tally.Counter
 }
 
-// New opens the peer socket and prepares the common parts. Errors name the
-// setting or the address that cannot be used. Close releases everything.
+// New opens the sockets and prepares the common parts. Errors name the setting
+// or the address that cannot be used. Close releases everything.
 func New(settings *schema.Settings, log *zap.Logger) (*Node, error) {
-	keys, err := Keyring(settings.GetFleetKeys())
-	if err != nil {
-		return nil, err
-	}
-	startID, err := randomID()
+	keys, err := decodeKeys("fleet_keys", settings.GetFleetKeys())
 	if err != nil {
 		return nil, err
 	}
-	peers, err := wire.Listen(settings.GetListen())
+	ring, err := wire.NewKeyring(keys)
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		return nil, fmt.Errorf("fleet_keys: %w", err)
 	}
-	statusListener, err := listenStatus(settings.GetStatusListen())
+	startID, err := randomID()
 	if err != nil {
-		_ = peers.Close()
 		return nil, err
 	}
 	log = log.With(zap.String("name", settings.GetName()))
-	registry := prom.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+	n := &Node{
+		Settings:    settings,
+		Log:         log,
+		Audit:       audit.NewTrail(log, time.Now),
+		Keys:        ring,
+		StartID:     startID,
+		replay:      newReplayFilter(),
+		viewChanged: make(chan struct{}, 1),
+	}
+	n.openMetrics()
+	if err := n.openSockets(keys); err != nil {
+		return nil, errors.Join(err, ignoreClosed(n.Close()))
+	}
+	return n, nil
+}
+
+func (n *Node) openMetrics() {
+	n.registry = prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: n.registry, Gatherer: n.registry})
+	n.metricsServer = reporter.HTTPHandler()
+	n.Metrics, n.closeMetrics = tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "heathergw",
-		Tags:                   map[string]string{processTag: settings.GetName()},
+		Tags:                   map[string]string{processTag: n.Settings.GetName()},
 		CachedReporter:         reporter,
 		Separator:              prometheus.DefaultSeparator,
 		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, metricsInterval)
-	return &Node{
-		Settings:       settings,
-		Log:            log,
-		Metrics:        scope,
-		Audit:          audit.NewTrail(log, time.Now),
-		Keys:           keys,
-		Peers:          peers,
-		StartID:        startID,
-		statusListener: statusListener,
-		registry:       registry,
-		metricsServer:  reporter.HTTPHandler(),
-		closeMetrics:   closer,
-	}, nil
+	n.sendFailed = n.Metrics.Counter("control_send_failed")
+	n.controlBytes = n.Metrics.Counter("control_sent_bytes")
+}
+
+func (n *Node) openSockets(fleetKeys [][]byte) (err error) {
+	if n.Peers, err = wire.Listen(n.Settings.GetListen()); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	// Streams use the same port as datagrams, so that one address names a process.
+	if n.streams, err = net.Listen("tcp", n.Peers.Address().String()); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if n.statusListener, err = listenStatus(n.Settings.GetStatusListen()); err != nil {
+		return err
+	}
+	return n.openBundles(fleetKeys)
 }
 
 // Close releases the sockets and stops the metrics.
 func (n *Node) Close() error {
-	err := errors.Join(n.Peers.Close(), n.closeMetrics.Close())
-	if n.statusListener != nil {
-		_ = n.statusListener.Close() // already closed when the server ran
+	var err error
+	if n.Peers != nil {
+		err = n.Peers.Close()
+	}
+	for _, listener := range []net.Listener{n.streams, n.statusListener} {
+		if listener != nil {
+			_ = listener.Close() // already closed when its server ran
+		}
+	}
+	return errors.Join(err, n.closeMetrics.Close())
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
 	}
 	return err
 }
@@ -119,22 +159,17 @@
 	return listener, nil
 }
 
-// Keyring decodes the base64 fleet keys of the settings. The error names the
-// key by its position.
-func Keyring(encoded []string) (*wire.Keyring, error) {
+// decodeKeys decodes base64 keys. The error names the key by field and position.
+func decodeKeys(field string, encoded []string) ([][]byte, error) {
 	var keys [][]byte
 	for i, text := range encoded {
 		key, err := base64.StdEncoding.DecodeString(text)
 		if err != nil {
-			return nil, fmt.Errorf("fleet_keys[%d]: %w", i, err)
+			return nil, fmt.Errorf("%s[%d]: %w", field, i, err)
 		}
 		keys = append(keys, key)
 	}
-	ring, err := wire.NewKeyring(keys)
-	if err != nil {
-		return nil, fmt.Errorf("fleet_keys: %w", err)
-	}
-	return ring, nil
+	return keys, nil
 }
 
 func randomID() (uint64, error) {
@@ -155,17 +190,34 @@
 	return [2]uint64{a, b}, err
 }
 
-// SendControl completes the envelope of m and sends it. sequence is the
-// sender's bundle sequence.
-func (n *Node) SendControl(m *schema.Control, sequence uint64, to netip.AddrPort) error {
+// SendControl completes the envelope of m and sends it. Datagrams that cannot
+// be sent are counted; the protocols repeat what they say.
+func (n *Node) SendControl(m *schema.Control, to netip.AddrPort) {
 	m.SenderStartId = n.StartID
 	m.Counter = n.counter.Add(1)
-	m.BundleSequence = sequence
+	m.BundleSequence = n.Store.Version().Sequence
+	m.SenderTargetId = n.Settings.GetAgent().GetTargetId()
 	datagram, err := n.Keys.SealControl(m)
+	if err == nil {
+		err = n.Peers.WriteTo(datagram, to)
+	}
 	if err != nil {
-		return err
+		n.sendFailed.Inc(1)
+		return
+	}
+	n.controlBytes.Inc(int64(len(datagram)))
+}
+
+// OpenControl decodes the header of a control datagram and drops replays.
+func (n *Node) OpenControl(header []byte) (*schema.Control, error) {
+	m, err := wire.DecodeControl(header)
+	if err != nil {
+		return nil, err
+	}
+	if !n.replay.accept(m.GetSenderStartId(), m.GetCounter()) {
+		return nil, ErrReplay
 	}
-	return n.Peers.WriteTo(datagram, to)
+	return m, nil
 }
 
 // Clock returns the monotonic clock in nanoseconds since the first use of the
