Add stand-ins for fabric, host, caller and platform

Cause: tests and the demo need the systems around heathergw, which are met only through their published protocols. Change: loopback fakes that speak GRE-in-UDP, TCP (RFC 9293, RFC 5961), the key-value HTTP interface with blocking queries and a health endpoint, and a ledger that joins what callers and hosts saw. Ruled out: deadlines of 1 s and 3 s in the loss test; with 5 % loss in each direction and a doubling retransmission timeout a few of 90 runs passed them by chance.

--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,189 @@
+package standin
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/heathergw/heathergw/internal/packet"
+)
+
+const testSeed = 7
+
+var bookingAddress = netip.MustParseAddrPort("198.51.100.1:443")
+
+type rig struct {
+	fabric *Fabric
+	ledger *Ledger
+	caller *Caller
+	host   *Host
+}
+
+// newRig connects one host to the fabric without heathergw in between: the
+// host itself is the fabric's only entry.
+func newRig(c *qt.C, change func(*HostOptions)) *rig {
+	r := &rig{ledger: NewLedger()}
+	var err error
+	r.fabric, err = NewFabric(testSeed)
+	c.Assert(err, qt.IsNil)
+	options := HostOptions{
+		Name: "host-1", Service: 1, Addresses: []netip.AddrPort{bookingAddress}, Agent: r.fabric.Address(),
+		Slots: 4, ServiceTime: 5 * time.Millisecond, Seed: testSeed, Ledger: r.ledger,
+	}
+	if change != nil {
+		change(&options)
+	}
+	r.host, err = NewHost(options)
+	c.Assert(err, qt.IsNil)
+	r.fabric.AddEntry(r.host.Address())
+	r.caller = NewCaller(CallerOptions{
+		Fabric: r.fabric, Ledger: r.ledger, Source: netip.MustParseAddr("192.0.2.1"), Seed: testSeed,
+		// A request of the loss case can need eight repetitions.
+		AnswerDeadline: 10 * time.Second, OpenDeadline: 10 * time.Second,
+	})
+	c.Cleanup(func() {
+		r.caller.Close()
+		r.host.Kill()
+		r.fabric.Close()
+	})
+	return r
+}
+
+func (r *rig) plan() Plan {
+	return Plan{Destination: bookingAddress, Service: 1, Requests: []Request{
+		{Kind: Booking, Size: 300, AnswerSize: 5000},
+		{Kind: Upload, Size: 40000, AnswerSize: 10},
+		{Kind: Tracking, AnswerSize: 2000, Poll: 20 * time.Millisecond},
+	}}
+}
+
+// TestFlows guards against stand-ins that lose, repeat or mix requests by
+// themselves, and against ones that hide what a faulty system does.
+func TestFlows(t *testing.T) {
+	t.Logf("seed %d", testSeed)
+	tests := []struct {
+		name   string
+		change func(*HostOptions)
+		fault  func(*rig)
+		during func(*rig)
+		check  func(*qt.C, Report)
+	}{
+		{name: "no fault", check: allAnswered},
+		{name: "loss", fault: faults(Faults{Loss: 0.05}), check: allAnswered},
+		{name: "duplicates", fault: faults(Faults{Duplicate: 0.5}), check: allAnswered},
+		{name: "reorder", fault: faults(Faults{Reorder: 0.3}), check: allAnswered},
+		{
+			name: "host of another service", change: func(o *HostOptions) { o.Service = 2 },
+			check: func(c *qt.C, r Report) { c.Assert(r.Misrouted > 0, qt.IsTrue) },
+		},
+		{
+			name: "packets for another service", change: func(o *HostOptions) { o.Addresses = nil },
+			check: func(c *qt.C, r Report) { c.Assert(r.StrayPackets > 0, qt.IsTrue) },
+		},
+		{
+			name: "connection limit", change: func(o *HostOptions) { o.MaxConnections = 1 },
+			check: func(c *qt.C, r Report) {
+				c.Assert(r.FlowsOpened, qt.Equals, 1)
+				c.Assert(r.FlowsRefused, qt.Equals, flowCount-1)
+			},
+		},
+		{
+			name: "accept and close", fault: func(r *rig) { r.host.SetAcceptAndClose(true) },
+			check: func(c *qt.C, r Report) { c.Assert(r.FlowsBroken, qt.Equals, flowCount) },
+		},
+		{
+			name: "host restarts", fault: shortDeadlines, during: func(r *rig) { _ = r.host.Restart() },
+			check: func(c *qt.C, r Report) { c.Assert(r.FlowsBroken, qt.Equals, flowCount) },
+		},
+		{
+			name: "entry cut", fault: func(r *rig) { shortDeadlines(r); r.fabric.CutEntry(r.host.Address(), true) },
+			check: func(c *qt.C, r Report) { c.Assert(r.FlowsUnopened, qt.Equals, flowCount) },
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(c, test.change)
+			defer func() {
+				if t.Failed() {
+					t.Logf("%+v\n%s", r.ledger.Report(), strings.Join(r.ledger.Events(), "\n"))
+				}
+			}()
+			if test.fault != nil {
+				test.fault(r)
+			}
+			var flows []*Flow
+			for range flowCount {
+				flows = append(flows, r.caller.Open(r.plan()))
+			}
+			if test.during != nil {
+				time.Sleep(15 * time.Millisecond)
+				test.during(r)
+			}
+			for _, f := range flows {
+				<-f.Done()
+			}
+			got := r.ledger.Report()
+			test.check(c, got)
+		})
+	}
+}
+
+const flowCount = 20
+
+func faults(f Faults) func(*rig) { return func(r *rig) { r.fabric.SetFaults(f) } }
+
+// shortDeadlines is for flows that get no answer.
+func shortDeadlines(r *rig) {
+	r.caller.options.OpenDeadline, r.caller.options.AnswerDeadline = time.Second, time.Second
+}
+
+func allAnswered(c *qt.C, r Report) {
+	c.Assert(r.RequestsAnswered, qt.Equals, 3*flowCount)
+	c.Assert(r.FlowsCompleted, qt.Equals, flowCount)
+	c.Assert(r.Violations(), qt.Equals, 0)
+}
+
+// TestLongFlow guards against a caller that loses an idle flow and against
+// Finish that cuts a request in progress.
+func TestLongFlow(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(c, nil)
+	f := r.caller.Open(Plan{
+		Destination: bookingAddress, Service: 1, Repeat: true, Pause: 30 * time.Millisecond,
+		Requests: []Request{{Kind: Tracking, AnswerSize: 100, Poll: 30 * time.Millisecond}},
+	})
+	for r.ledger.Report().RequestsAnswered < 4 {
+		time.Sleep(tickInterval)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	c.Assert(r.caller.Finish(ctx), qt.Equals, 0)
+	outcome, reason := f.Outcome()
+	c.Assert(outcome, qt.Equals, Completed, qt.Commentf(reason))
+	got := r.ledger.Report()
+	c.Assert(got.RequestsAnswered, qt.Equals, got.RequestsSent)
+}
+
+// TestLedger guards against a ledger that misses a broken promise.
+func TestLedger(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger()
+	first, second := packet.Key{Protocol: 6}, packet.Key{Protocol: 17}
+	l.requestSent(1)
+	l.requestRefused(1, first)
+	l.requestRun("a", 1, Request{ID: 1, Service: 1}, second)
+	c.Assert(l.Report().Violations(), qt.Equals, 0, qt.Commentf("a retry after a refusal is allowed"))
+	l.requestRun("b", 1, Request{ID: 1, Service: 1}, first)
+	got := l.Report()
+	c.Assert([]int{got.RefusedButRun, got.RequestsRunTwice, got.Misrouted}, qt.DeepEquals, []int{1, 1, 0})
+	l.requestRun("c", 2, Request{ID: 2, Service: 1}, first)
+	c.Assert(l.Report().Misrouted, qt.Equals, 1)
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
