Run the flow table in the agent process and tell entries of silent targets

Cause: the agent delivered every packet to its host; ownership and placement were not in the packet path. An entry may send 100 probes a second, which is too few to watch 2,300 agents. Ruled out: probing every agent from every entry (1 M pairs a second), and failure news on the bundle announcements, which would spread news of one service to 2,740 processes. Change: agent process around flow.Agent; health reports, VM list and planned stop feed it; the live agents of a service share the entries among them and send each a notice when a target falls silent, again after 1 s and every 30 s.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/heathergw/heathergw/internal/bundle"
 	"github.com/heathergw/heathergw/internal/flow"
 	"github.com/heathergw/heathergw/internal/node"
+	"github.com/heathergw/heathergw/internal/placement"
 	"github.com/heathergw/heathergw/internal/wire"
 	"github.com/heathergw/heathergw/schema"
 )
@@ -33,14 +34,16 @@
 type Agent struct {
 	node     *node.Node
 	host     *wire.Socket
-	table    *direct
+	table    *flow.Agent
 	counters *counters
 	pause    *node.PauseWatch
 
 	hostAddress   netip.AddrPort
 	fabricAddress netip.AddrPort
 	discardUntil  atomic.Int64
-	sequence      atomic.Uint64
+	stopping      atomic.Bool
+	vms           vmWatch
+	notices       notices
 }
 
 // New opens the sockets of an agent. Errors name the setting or the address
@@ -66,10 +69,17 @@
 	if err != nil {
 		return nil, errors.Join(err, host.Close(), n.Close())
 	}
+	chooser := placement.NewChooser(placement.Config{})
 	a := &Agent{
-		node:          n,
-		host:          host,
-		table:         newTable(settings, n.StartID, seed),
+		node: n,
+		host: host,
+		table: flow.New(flow.Config{
+			TargetID:     settings.GetAgent().GetTargetId(),
+			AgentStartID: n.StartID,
+			Started:      node.Clock(),
+			HashSeed:     seed[0],
+			Chooser:      chooser,
+		}),
 		counters:      newCounters(n.Metrics),
 		hostAddress:   hostAddress,
 		fabricAddress: fabricAddress,
@@ -80,7 +90,6 @@
 
 // SetView puts a bundle in force.
 func (a *Agent) SetView(v *bundle.View) {
-	a.sequence.Store(v.Sequence)
 	s := a.newSender()
 	a.table.SetView(v, node.Clock(), &s.actions)
 	s.perform()
@@ -133,6 +142,7 @@
 		return nil
 	case <-ctx.Done():
 	}
+	a.stopping.Store(true)
 	a.node.Log.Info("planned stop begins")
 	s := a.newSender()
 	a.table.Drain(node.Clock(), &s.actions)
@@ -156,7 +166,12 @@
 	a.node.Log.Warn("process resumed after a pause", zap.Duration("pause", gap))
 }
 
-func (a *Agent) failureTimeout() time.Duration { return bundle.DefaultFailureTimeout }
+func (a *Agent) failureTimeout() time.Duration {
+	if v := a.node.Store.View(); v != nil {
+		return v.FailureTimeout
+	}
+	return bundle.DefaultFailureTimeout
+}
 
 // tickLoop drives the timeouts of the flow table.
 func (a *Agent) tickLoop(ctx context.Context) error {
@@ -168,7 +183,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			a.table.Tick(node.Clock(), &s.actions)
+			now := node.Clock()
+			a.followVMs()
+			a.tellEntries(now)
+			a.table.Tick(now, &s.actions)
 			s.perform()
 			s.flush()
 		}
@@ -239,10 +257,8 @@
 		return
 	}
 	a.node.Runner.ObserveSequence(from, s.header.BundleSequence)
-	if s.header.Flags&uint32(schema.ForwardFlag_FORWARD_FLAG_PROBE) != 0 {
-		a.answerProbe(from)
-	}
 	if len(inner) == 0 {
+		a.table.Probe(from, now, &s.actions)
 		return
 	}
 	if err := s.parser.Parse(inner, &s.parsed); err != nil {
@@ -252,11 +268,6 @@
 	a.table.FromPeer(&s.parsed, &s.header, from, now, &s.actions)
 }
 
-func (a *Agent) answerProbe(to netip.AddrPort) {
-	answer := &schema.Control{Body: &schema.Control_ProbeAnswer{ProbeAnswer: a.table.ProbeAnswer()}}
-	a.node.SendControl(answer, to)
-}
-
 // hostWorker passes return packets of the host to the flow table.
 func (a *Agent) hostWorker() error {
 	s := a.newSender()
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,105 @@
+package agent
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/heathergw/heathergw/internal/bundle"
+	"github.com/heathergw/heathergw/internal/platform"
+	"github.com/heathergw/heathergw/schema"
+)
+
+func address(port int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", port))
+}
+
+func testView(c *qt.C, targets int) *bundle.View {
+	service := &schema.Service{Id: 1, Name: "booking"}
+	for i := range targets {
+		service.Targets = append(service.Targets, &schema.Target{
+			Id: uint32(i + 1), AgentAddress: address(20001 + i).String(), Slots: 7,
+		})
+	}
+	v, err := bundle.NewView(&schema.Bundle{Sequence: 1, Services: []*schema.Service{service}}, bundle.Digest{})
+	c.Assert(err, qt.IsNil)
+	return v
+}
+
+func agents(leaving map[int]bool, ports ...int) []platform.VM {
+	var vms []platform.VM
+	for _, port := range ports {
+		vms = append(vms, platform.VM{Role: platform.RoleAgent, Address: address(port), Leaving: leaving[port]})
+	}
+	return vms
+}
+
+// Guards against a stale VM list that drains new targets, and against a target
+// whose VM left and that is still taken as alive.
+func TestVMListNamesGoneTargets(t *testing.T) {
+	c := qt.New(t)
+	view := testView(c, 3)
+	const self = 3
+	steps := []struct {
+		name string
+		vms  []platform.VM
+		want []uint32
+	}{
+		{"no agent listed", nil, nil},
+		{"target 2 never listed", agents(nil, 20001, 20003), nil},
+		{"all listed", agents(nil, 20001, 20002, 20003), nil},
+		{"target 1 leaving", agents(map[int]bool{20001: true}, 20001, 20002, 20003), []uint32{1}},
+		{"targets 1 and self vanished", agents(nil, 20002), []uint32{1}},
+		{"self leaving", agents(map[int]bool{20003: true}, 20001, 20002, 20003), []uint32{3}},
+		{"stale list without target 2", agents(nil, 20001, 20003), []uint32{2}},
+	}
+	var w vmWatch
+	for _, s := range steps {
+		c.Check(w.gone(s.vms, view, self), qt.DeepEquals, s.want, qt.Commentf("%s", s.name))
+	}
+}
+
+// Guards against entries that are never told of a silent target, or are told
+// without end.
+func TestNoticesAreRepeatedOnce(t *testing.T) {
+	c := qt.New(t)
+	var n notices
+	sent := map[int64]int{}
+	for second := int64(0); second < 70; second++ {
+		silent := []uint32{2}
+		if second >= 65 {
+			silent = nil
+		}
+		if due := n.due(silent, second*int64(time.Second)); len(due) > 0 {
+			sent[second]++
+		}
+	}
+	c.Check(sent, qt.DeepEquals, map[int64]int{0: 1, 1: 1, 31: 1, 61: 1})
+	c.Check(n.due([]uint32{2}, 71*int64(time.Second)), qt.DeepEquals, []uint32{2}, qt.Commentf("silent again"))
+}
+
+// Guards against an entry that no agent tells, or that several tell.
+func TestNoticeSharesCoverAllEntries(t *testing.T) {
+	c := qt.New(t)
+	view := testView(c, 5)
+	vms := agents(nil, 20001)
+	for port := 30000; port < 30044; port++ {
+		vms = append(vms, platform.VM{Role: platform.RoleEntry, Address: address(port)})
+	}
+	told := map[netip.AddrPort]int{}
+	for _, target := range view.Services[0].Targets {
+		if target.ID == 2 {
+			continue
+		}
+		for _, entry := range share(vms, target, []uint32{2}) {
+			told[entry]++
+		}
+	}
+	c.Check(len(told), qt.Equals, 44)
+	for entry, times := range told {
+		c.Check(times, qt.Equals, 1, qt.Commentf("%s", entry))
+	}
+}
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -7,6 +7,9 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/heathergw/heathergw/internal/flow"
+	"github.com/heathergw/heathergw/internal/node"
 )
 
 const (
@@ -18,15 +21,18 @@
 
 // Health is an answer of the host's health and load endpoint.
 type Health struct {
-	// State is "ready", "starting" or "draining".
+	// State is "ready", "starting", "shedding" or "draining".
 	State       string `json:"state"`
 	BusySlots   int    `json:"busy_slots"`
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
+	// StartID identifies the start of the host and UptimeSeconds its age. Both
+	// are optional; without them a restarted host is noticed by its resets.
+	StartID       uint64  `json:"start_id"`
+	UptimeSeconds float64 `json:"uptime_seconds"`
 }
 
-// healthLoop polls the host's endpoint. A failed poll changes nothing: the
-// endpoint may be late or broken while the host serves.
+// healthLoop polls the host's endpoint.
 func (a *Agent) healthLoop(ctx context.Context) error {
 	url := a.node.Settings.GetAgent().GetHealthUrl()
 	if url == "" {
@@ -34,15 +40,15 @@
 		return nil
 	}
 	client := &http.Client{Timeout: healthTimeout}
+	s := a.newSender()
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
 	for {
 		health, err := pollHealth(ctx, client, url)
 		if err != nil {
 			a.counters.healthFailed.Inc(1)
-		} else {
-			a.applyHealth(health)
 		}
+		a.applyHealth(s, health, err != nil)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -73,4 +79,18 @@
 	return health, nil
 }
 
-func (a *Agent) applyHealth(Health) {}
+// applyHealth passes a report, or the failure to get one, to the flow table.
+func (a *Agent) applyHealth(s *sender, h Health, failed bool) {
+	report := flow.HostReport{Failed: failed}
+	if !failed {
+		report.BusySlots = h.BusySlots
+		report.StartID = h.StartID
+		report.Uptime = time.Duration(h.UptimeSeconds * float64(time.Second))
+		report.Draining = h.State == "draining"
+		report.Starting = h.State == "starting"
+		report.Shedding = h.State == "shedding"
+	}
+	a.table.HostHealth(report, node.Clock(), &s.actions)
+	s.perform()
+	s.flush()
+}
--- a/internal/agent/sender.go
+++ b/internal/agent/sender.go
@@ -30,10 +30,11 @@
 // packets, so that the caller may reuse their buffers.
 func (s *sender) perform() {
 	a := s.agent
+	sequence := a.node.Store.Version().Sequence
 	for i := range s.actions.Forwards {
 		f := &s.actions.Forwards[i]
 		f.Header.SenderStartID = a.node.StartID
-		f.Header.BundleSequence = a.sequence.Load()
+		f.Header.BundleSequence = sequence
 		datagram := f.Header.Append(wire.Begin(s.peers.Next(), wire.KindForward))
 		s.peers.Add(a.node.Keys.Finish(datagram, f.Packet), f.To)
 	}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -6,6 +6,7 @@
 func (e *Entry) Status() node.Status {
 	v := e.decider.view.Load()
 	s := e.node.NewStatus("entry", v, e.pause.Pauses())
+	s.Ready = e.node.Ready()
 	s.Stopping = e.stopping.Load()
 	if v == nil {
 		return s
