--- a/internal/bundle/sign.go
+++ b/internal/bundle/sign.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/heathergw/heathergw/schema"
@@ -68,10 +69,18 @@
 	return s, nil
 }
 
-func checkSequence(sequence uint64, predecessor *Signed) error {
-	switch {
-	case sequence == 0 || sequence > MaxSequence:
+func checkSequenceBounds(sequence uint64) *errorx.Error {
+	if sequence == 0 || sequence > MaxSequence {
 		return OrderError.New("sequence %d is not from 1 to %d", sequence, uint64(MaxSequence))
+	}
+	return nil
+}
+
+func checkSequence(sequence uint64, predecessor *Signed) *errorx.Error {
+	if err := checkSequenceBounds(sequence); err != nil {
+		return err
+	}
+	switch {
 	case predecessor == nil && sequence != 1:
 		return OrderError.New("sequence %d needs a predecessor; only sequence 1 has none", sequence)
 	case predecessor != nil && sequence <= predecessor.Sequence:
--- a/internal/bundle/store_test.go
+++ b/internal/bundle/store_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/heathergw/heathergw/schema"
 )
 
 // Guards against a wrong outcome, a missing audit record, and a bundle that is
@@ -165,3 +167,16 @@
 	qt.Assert(t, store.Signed(), qt.Equals, chain[20])
 	qt.Assert(t, store.Count(Applied)+store.Count(Gap), qt.Equals, uint64(21))
 }
+
+// Guards against new flows for a target in a data centre that the rules of its
+// service do not allow.
+func TestViewDrainsTargetsOutsideAllowedDataCentres(t *testing.T) {
+	b := testBundle(1)
+	b.Services[0].Rules = &schema.ServiceRules{DataCentres: []string{"dc-1"}}
+	v, err := NewView(b, Digest{})
+	qt.Assert(t, err, qt.IsNil)
+	for _, target := range v.Service(1).Targets {
+		qt.Check(t, target.Draining, qt.Equals, target.DataCentre != "dc-1")
+	}
+	qt.Assert(t, v.Target(20).Draining, qt.IsFalse)
+}
--- a/internal/bundle/view.go
+++ b/internal/bundle/view.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/heathergw/heathergw/internal/packet"
@@ -101,7 +102,9 @@
 	Slots          int
 	MaxConnections int
 	Weight         int
-	Draining       bool
+	// Draining targets get no new flow: their state says so, or the rules of
+	// the service do not allow their data centre.
+	Draining bool
 	// RetiredUntil is the time until which flows of a target that left the
 	// bundle may go on; zero for a target of the bundle.
 	RetiredUntil time.Time
@@ -183,8 +186,9 @@
 			return fmt.Errorf("addresses[%d]: %w", i, err)
 		}
 	}
+	allowed := m.GetRules().GetDataCentres()
 	for i, t := range m.GetTargets() {
-		if err := v.addTarget(s, t); err != nil {
+		if err := v.addTarget(s, t, allowed); err != nil {
 			return fmt.Errorf("targets[%d]: %w", i, err)
 		}
 	}
@@ -233,7 +237,9 @@
 	return nil
 }
 
-func (v *View) addTarget(s *Service, m *schema.Target) error {
+// addTarget compiles a target. One in a data centre that the rules do not
+// allow drains: it gets no new flow, and its flows go on when the rules change.
+func (v *View) addTarget(s *Service, m *schema.Target, allowed []string) error {
 	if v.targets[m.GetId()] != nil {
 		return fmt.Errorf("id %d is used twice", m.GetId())
 	}
@@ -250,9 +256,16 @@
 		Slots:          int(m.GetSlots()),
 		MaxConnections: int(m.GetMaxConnections()),
 		Weight:         orDefault(int(m.GetWeight()), DefaultWeight),
-		Draining:       m.GetState() == schema.TargetState_TARGET_STATE_DRAINING,
+		Draining:       !servesNewFlows(m, allowed),
 	}
 	v.targets[t.ID] = t
 	s.Targets = append(s.Targets, t)
 	return nil
 }
+
+// servesNewFlows tells whether the target is active and in one of the allowed
+// data centres; an empty list allows all.
+func servesNewFlows(t *schema.Target, allowed []string) bool {
+	return t.GetState() != schema.TargetState_TARGET_STATE_DRAINING &&
+		(len(allowed) == 0 || slices.Contains(allowed, t.GetDataCentre()))
+}
