--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -1,9 +1,12 @@
 package transport
 
 import (
-	"crypto/tls"
+	"context"
 	"errors"
 	"io"
+	"net"
+	"os"
+	"syscall"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -41,17 +44,20 @@
 }
 
 // countHandshake counts a failed handshake as unauthenticated unless the
-// connection broke.
+// connection broke. crypto/tls gives most protocol errors no type.
 func (m *metrics) countHandshake(err error) {
-	var alert tls.AlertError
-	var record tls.RecordHeaderError
-	var verification *tls.CertificateVerificationError
-	if errors.Is(err, ErrNotBound) || errors.Is(err, ErrNoCertificate) || errors.As(err, &alert) ||
-		errors.As(err, &record) || errors.As(err, &verification) {
-		m.unauthenticated.Inc(1)
-		return
+	for _, broken := range connectionErrors {
+		if errors.Is(err, broken) {
+			m.failed.Inc(1)
+			return
+		}
 	}
-	m.failed.Inc(1)
+	m.unauthenticated.Inc(1)
+}
+
+var connectionErrors = []error{
+	io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, os.ErrDeadlineExceeded, context.DeadlineExceeded,
+	context.Canceled, syscall.ECONNRESET, syscall.EPIPE,
 }
 
 func (m *metrics) countMessage(err error) {
