Add the flow table and ownership rules of an agent

The agent needs one place that decides for each packet whether to deliver, forward, hold or place it. Change: flow records with the ISN rule, registrations, owner queries, questions to the host's TCP for adoption, placement through placement.Chooser, draining, heartbeats and a late wake-up refresh, as decision code without clock or socket.

--- /dev/null
+++ b/internal/flow/agent.go
@@ -0,0 +1,393 @@
+package flow
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/heathergw/heathergw/internal/bundle"
+	"github.com/heathergw/heathergw/internal/packet"
+	"github.com/heathergw/heathergw/internal/placement"
+	"github.com/heathergw/heathergw/internal/wire"
+	"github.com/heathergw/heathergw/schema"
+)
+
+// Config holds the fixed inputs of an agent.
+type Config struct {
+	TargetID uint32
+	// AgentStartID identifies this start of the process; HostStartID the start
+	// of the host as far as it is known, else 0.
+	AgentStartID, HostStartID uint64
+	// Started is the monotonic time in nanoseconds at which the agent started.
+	Started int64
+	// HashSeed keys the hash that spreads flows over shards.
+	HashSeed uint64
+	// MaxConnections bounds established flows until a view names the bound of
+	// the target; 0 means DefaultMaxConnections.
+	MaxConnections int
+	// Chooser places openings; the agent reports its flows to it.
+	Chooser *placement.Chooser
+}
+
+// DefaultMaxConnections bounds the flows of a target without a bundle.
+const DefaultMaxConnections = 2000
+
+const (
+	// halfOpenShare is the part of the table that half-open claims may use.
+	halfOpenShare = 4
+	// minHalfOpen lets a target with a small connection limit take bursts.
+	minHalfOpen = 16
+	sweepPeriod = 250 * time.Millisecond
+	// refreshTime bounds the refresh after a late wake-up.
+	refreshTime = time.Second
+)
+
+// Agent decides for the packets of one target. Its methods are safe for
+// concurrent use.
+type Agent struct {
+	cfg      Config
+	Counters Counters
+
+	view    atomic.Pointer[bundle.View]
+	service atomic.Uint32
+	// learning is true while the host may have connections that this process
+	// has not seen, that is, unless the host started after the process.
+	learning     atomic.Bool
+	lastTick     atomic.Int64
+	refreshUntil atomic.Int64
+	// limit is the target's connection limit.
+	limit               atomic.Int64
+	openFlows, halfOpen atomic.Int64
+	epoch               atomic.Uint64
+	failureTimeout      atomic.Int64
+	draining            atomic.Bool
+
+	shards [shardCount]shard
+
+	mu           sync.Mutex
+	peers        map[uint32]*peer
+	queries      map[packet.Key]*query
+	hostAsks     map[packet.Key]*hostAsk
+	held         int
+	waiting      []waitingOpening
+	sources      sources
+	pending      []pendingRegistration
+	queryBudget  budget
+	left         map[uint32]int64
+	gone         map[uint32]bool
+	host         HostReport
+	hostSeen     int64
+	hostStartID  uint64
+	drainReasons drainReason
+	// hostFailed is when the health endpoint began to fail; 0 when it answers.
+	hostFailed    int64
+	stopping      bool
+	stopBy        int64
+	lastSweep     int64
+	lastHeartbeat int64
+	lastPull      int64
+	pulls         int
+}
+
+// New returns an agent without a view: it places nothing and serves only
+// flows that its host reveals.
+func New(cfg Config) *Agent {
+	if cfg.MaxConnections == 0 {
+		cfg.MaxConnections = DefaultMaxConnections
+	}
+	a := &Agent{
+		cfg: cfg, peers: map[uint32]*peer{}, queries: map[packet.Key]*query{},
+		hostAsks: map[packet.Key]*hostAsk{}, sources: sources{},
+		left: map[uint32]int64{}, gone: map[uint32]bool{}, hostStartID: cfg.HostStartID,
+		queryBudget: budget{rate: queriesPerSecond, burst: queriesPerSecond, tokens: queriesPerSecond},
+	}
+	for i := range a.shards {
+		a.shards[i].init()
+	}
+	a.learning.Store(true)
+	a.limit.Store(int64(cfg.MaxConnections))
+	a.failureTimeout.Store(int64(bundle.DefaultFailureTimeout))
+	a.lastTick.Store(cfg.Started)
+	return a
+}
+
+// SetView puts a newer view in force; an older one or the same is ignored, as
+// is a sequence that goes back. Registrations follow the new candidates.
+func (a *Agent) SetView(v *bundle.View, now int64, out *Actions) {
+	a.mu.Lock()
+	old := a.view.Load()
+	if v == nil || (old != nil && v.Sequence < old.Sequence) {
+		a.mu.Unlock()
+		return
+	}
+	if t := v.Target(a.cfg.TargetID); t != nil {
+		a.service.Store(t.Service.ID)
+		if t.MaxConnections > 0 {
+			a.limit.Store(int64(t.MaxConnections))
+		}
+	}
+	a.failureTimeout.Store(int64(v.FailureTimeout))
+	a.noteDepartures(old, v, now)
+	a.view.Store(v)
+	a.cfg.Chooser.SetView(v, a.cfg.TargetID)
+	for _, t := range a.targetsLocked(v) {
+		a.peerLocked(t.ID, now)
+	}
+	a.updateDrainLocked(now, out)
+	a.epoch.Add(1)
+	a.mu.Unlock()
+	a.sweep(now, out)
+	a.flushRegistrations(out)
+	a.retryWaiting(now, out)
+}
+
+// noteDepartures records when targets of the service left the bundle.
+func (a *Agent) noteDepartures(old, v *bundle.View, now int64) {
+	if old != nil {
+		for _, t := range a.targetsLocked(old) {
+			if v.Target(t.ID) == nil {
+				a.left[t.ID] = now
+			}
+		}
+	}
+	for id := range a.left {
+		if v.Target(id) != nil {
+			delete(a.left, id)
+		}
+	}
+}
+
+// targetsLocked returns the targets of the agent's service.
+func (a *Agent) targetsLocked(v *bundle.View) []*bundle.Target {
+	if v == nil {
+		return nil
+	}
+	s := v.Service(a.service.Load())
+	if s == nil {
+		return nil
+	}
+	return s.Targets
+}
+
+// drainDeadline returns how long flows of a leaving target go on.
+func (a *Agent) drainDeadline() int64 {
+	if v := a.view.Load(); v != nil {
+		if s := v.Service(a.service.Load()); s != nil {
+			return int64(s.Rules.DrainDeadline)
+		}
+	}
+	return int64(bundle.DefaultDrainDeadline)
+}
+
+// SetGone names the targets whose VM the platform's list no longer holds.
+func (a *Agent) SetGone(ids []uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	clear(a.gone)
+	for _, id := range ids {
+		a.gone[id] = true
+	}
+}
+
+// event is what a packet from a peer came with.
+type event struct {
+	packet *packet.Packet
+	header *wire.Forward
+	from   netip.AddrPort
+	// deadline of a queued opening; 0 for one that was not queued.
+	deadline int64
+	now      int64
+	// foreign is true when the flow has a record here that the packet does
+	// not belong to.
+	foreign bool
+}
+
+func (e *event) hasFlag(f schema.ForwardFlag) bool { return e.header.Flags&uint32(f) != 0 }
+
+// FromPeer handles a packet that an entry (sender target id 0) or another agent
+// sent. The packet is not kept.
+func (a *Agent) FromPeer(p *packet.Packet, h *wire.Forward, from netip.AddrPort, now int64, out *Actions) {
+	e := event{packet: p, header: h, from: from, now: now}
+	if h.SenderTargetID != 0 {
+		a.observeSender(h, now)
+	} else if e.hasFlag(schema.ForwardFlag_FORWARD_FLAG_PROBE) {
+		a.answerProbe(from, now, out)
+	}
+	if h.HopLimit == 0 {
+		a.Counters.add(DropHopLimit)
+		return
+	}
+	a.handle(&e, out)
+}
+
+func (a *Agent) handle(e *event, out *Actions) {
+	v := a.apply(e.packet, e.now)
+	e.foreign = v == foreign
+	switch v {
+	case deliver:
+		a.toHost(e.packet.Data, out)
+	case deliverOpening:
+		a.deliverOpening(e.packet, out)
+	case discardNoACK:
+		a.Counters.add(DropNoACK)
+	case discardLate:
+		a.Counters.add(DropLate)
+	default:
+		a.unowned(e, out)
+	}
+}
+
+// apply runs the packet against the flow's record, if there is one.
+func (a *Agent) apply(p *packet.Packet, now int64) verdict {
+	s := a.shard(&p.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.flows[p.Key]
+	if r == nil {
+		return unknown
+	}
+	before := r.state
+	v := r.fromCaller(p, now)
+	a.settle(s, r, before, now)
+	if v == discardLate && s.registered(&p.Key, now) != nil {
+		// The addresses and ports are in use again at another target.
+		return foreign
+	}
+	return v
+}
+
+func (a *Agent) toHost(data []byte, out *Actions) {
+	a.Counters.add(Delivered)
+	out.ToHost = append(out.ToHost, data)
+}
+
+func (a *Agent) deliverOpening(p *packet.Packet, out *Actions) {
+	data, err := stripPayload(p)
+	if err != nil {
+		a.Counters.add(DropMalformed)
+		return
+	}
+	a.toHost(data, out)
+}
+
+// unowned handles a packet of a flow that this target does not own.
+func (a *Agent) unowned(e *event, out *Actions) {
+	view := a.view.Load()
+	if view == nil {
+		a.Counters.add(DropNoView)
+		return
+	}
+	address := view.Lookup(&e.packet.Key)
+	if address == nil || address.Service.ID != a.service.Load() {
+		a.Counters.add(DropOtherService)
+		return
+	}
+	if a.followRegistration(e, out) {
+		return
+	}
+	if !e.packet.IsOpening() && !carriesFlow(e.packet) {
+		a.Counters.add(DropNoACK)
+		return
+	}
+	opening := e.packet.IsOpening() || e.packet.Key.Protocol == packet.ProtocolUDP
+	if opening && !e.packet.ICMP {
+		a.place(e, view, address, out)
+		return
+	}
+	a.ask(e, view, out)
+}
+
+// carriesFlow reports whether a packet that opens nothing can belong to a flow:
+// after the handshake every TCP segment but a reset has ACK (RFC 9293).
+func carriesFlow(p *packet.Packet) bool {
+	if p.ICMP || p.Key.Protocol != packet.ProtocolTCP || p.Flags&packet.FlagRST != 0 {
+		return true
+	}
+	return p.Flags&(packet.FlagACK|packet.FlagSYN) == packet.FlagACK
+}
+
+// FromHost handles a packet that the host sent from a service address.
+func (a *Agent) FromHost(p *packet.Packet, now int64, out *Actions) {
+	key := p.Key.Reverse()
+	s := a.shard(&key)
+	s.mu.Lock()
+	r := s.flows[key]
+	if r == nil {
+		s.mu.Unlock()
+		a.hostRevealed(p, &key, now, out)
+		return
+	}
+	before := r.state
+	pass := r.fromHost(p, now)
+	a.settle(s, r, before, now)
+	s.mu.Unlock()
+	if !pass {
+		a.Counters.add(DropReturn)
+		return
+	}
+	a.Counters.add(Returned)
+	out.ToFabric = append(out.ToFabric, p.Data)
+}
+
+// settle brings counts, the chooser and registrations in line with a record
+// after an event. The shard is locked.
+func (a *Agent) settle(s *shard, r *record, before state, now int64) {
+	if before == ended {
+		return
+	}
+	if r.finished {
+		a.end(s, r, before, now)
+		return
+	}
+	if r.hostData && !r.answerCounted {
+		r.answerCounted = true
+		a.cfg.Chooser.FlowAnswered(&r.slot, now)
+	}
+	if r.requested != r.requestCounted {
+		a.countRequest(r, now)
+	}
+	if r.state == before {
+		return
+	}
+	a.count(before, -1)
+	a.count(r.state, 1)
+	if r.state == open {
+		a.registerFlow(r, now)
+	}
+}
+
+// countRequest tells the chooser that a request began or was answered.
+func (a *Agent) countRequest(r *record, now int64) {
+	r.requestCounted = r.requested
+	if r.requested {
+		a.cfg.Chooser.RequestStarted(&r.slot, now)
+	} else {
+		a.cfg.Chooser.RequestEnded(&r.slot, now)
+	}
+}
+
+func (a *Agent) count(s state, n int64) {
+	switch s {
+	case halfOpen:
+		a.halfOpen.Add(n)
+	case open:
+		a.openFlows.Add(n)
+	}
+}
+
+// end turns a record into a tombstone. The shard is locked.
+func (a *Agent) end(s *shard, r *record, before state, now int64) {
+	a.count(before, -1)
+	a.mu.Lock()
+	a.sources.remove(r.key.Source.Addr())
+	for _, id := range r.registered {
+		if id != 0 {
+			a.pending = append(a.pending, pendingRegistration{target: id, key: r.key, ended: true})
+		}
+	}
+	a.mu.Unlock()
+	a.cfg.Chooser.FlowEnded(&r.slot, r.endedByHost, now)
+	r.registered = [2]uint32{}
+	s.bury(r, now)
+}
--- /dev/null
+++ b/internal/flow/counters.go
@@ -0,0 +1,70 @@
+package flow
+
+import "sync/atomic"
+
+// Counter names one count of an agent.
+type Counter int
+
+// Counts of an agent. Those that start with Drop count packets that were
+// neither delivered nor forwarded.
+const (
+	Delivered Counter = iota
+	Returned
+	Forwarded
+	Redirected
+	Taken
+	Adopted
+	Superseded
+	Refused
+	ResetSent
+	QueriesSent
+	HintsSent
+	DropHopLimit
+	DropNoView
+	DropOtherService
+	DropRefreshing
+	DropNoACK
+	DropLate
+	DropReturn
+	DropQueryLimit
+	DropHeldLimit
+	DropHeldTimeout
+	DropNoOwner
+	DropHalfOpenLimit
+	DropSourceLimit
+	DropQueueLimit
+	DropNewerView
+	DropRefusedSilently
+	DropMalformed
+	DropOldControl
+	DropRegistrationLimit
+	counterCount
+)
+
+var counterNames = [counterCount]string{
+	"delivered", "returned", "forwarded", "redirected", "taken", "adopted", "superseded", "refused",
+	"reset_sent", "queries_sent", "hints_sent", "drop_hop_limit", "drop_no_view", "drop_other_service",
+	"drop_refreshing", "drop_no_ack", "drop_late", "drop_return", "drop_query_limit", "drop_held_limit",
+	"drop_held_timeout", "drop_no_owner", "drop_half_open_limit", "drop_source_limit", "drop_queue_limit",
+	"drop_newer_view", "drop_refused_silently", "drop_malformed", "drop_old_control", "drop_registration_limit",
+}
+
+// String returns the name of the count in metrics.
+func (c Counter) String() string { return counterNames[c] }
+
+// Counters holds the counts of an agent. It is safe for concurrent use.
+type Counters struct {
+	values [counterCount]atomic.Uint64
+}
+
+func (c *Counters) add(n Counter) { c.values[n].Add(1) }
+
+// Get returns one count.
+func (c *Counters) Get(n Counter) uint64 { return c.values[n].Load() }
+
+// Each calls f for every count.
+func (c *Counters) Each(f func(name string, value uint64)) {
+	for i := range c.values {
+		f(counterNames[i], c.values[i].Load())
+	}
+}
