Measure the bytes of a bundle transfer

Cause: the budget is 11 KB/s per process and every process takes each change. Ruled out: computing sizes from the schema, which leaves out TLS and yamux. Change: BenchmarkTransfer pulls over loopback and counts bytes above TCP.

--- /dev/null
+++ b/internal/dissemination/transfer_test.go
@@ -0,0 +1,165 @@
+package dissemination
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/heathergw/heathergw/internal/bundle"
+	"github.com/heathergw/heathergw/internal/transport"
+	"github.com/heathergw/heathergw/schema"
+)
+
+// designBundle has the design size: 2,300 targets behind 880 addresses, and in
+// the worst case a service for each address.
+func designBundle(sequence uint64, services, targets int) *schema.Bundle {
+	b := &schema.Bundle{Sequence: sequence}
+	for dc := range 6 {
+		b.DataCentres = append(b.DataCentres, &schema.DataCentre{Name: fmt.Sprintf("dc-%d", dc), Region: fmt.Sprintf("region-%d", dc/3)})
+	}
+	for i := range services {
+		b.Services = append(b.Services, &schema.Service{Id: uint32(i + 1), Name: fmt.Sprintf("service-%04d", i),
+			Addresses: []*schema.ServiceAddress{{Ip: fmt.Sprintf("198.18.%d.%d", i>>8, i&255), Port: 443,
+				Protocol: schema.Protocol_PROTOCOL_TCP, HomeDataCentre: fmt.Sprintf("dc-%d", i%6)}},
+			Rules: &schema.ServiceRules{SpillOverPercent: 80}})
+	}
+	for i := range targets {
+		service := b.Services[i%services]
+		service.Targets = append(service.Targets, &schema.Target{Id: uint32(i + 1), Name: fmt.Sprintf("host-%04d", i),
+			DataCentre: fmt.Sprintf("dc-%d", i%6), AgentAddress: fmt.Sprintf("10.%d.%d.%d:7000", i%6, i>>8, i&255),
+			Slots: 7, MaxConnections: 2000, State: schema.TargetState_TARGET_STATE_ACTIVE})
+	}
+	return b
+}
+
+func designVMs(entries, agents int) []byte {
+	type vm struct {
+		Name       string `json:"name"`
+		DataCentre string `json:"data_centre"`
+		Role       string `json:"role"`
+		Address    string `json:"address"`
+		State      string `json:"state"`
+	}
+	var list []vm
+	for i := range entries + agents {
+		role := "agent"
+		if i < entries {
+			role = "entry"
+		}
+		list = append(list, vm{fmt.Sprintf("vm-%04d", i), fmt.Sprintf("dc-%d", i%6), role,
+			fmt.Sprintf("10.%d.%d.%d:7000", i%6, i>>8, i&255), "live"})
+	}
+	data, _ := json.Marshal(map[string]any{"vms": list})
+	return data
+}
+
+func signDesign(tb testing.TB, b *schema.Bundle, predecessor *bundle.Signed) *bundle.Signed {
+	tb.Helper()
+	signed, err := bundle.Sign(b, predecessor, testKey, time.Unix(1700000000, 0))
+	qt.Assert(tb, err, qt.IsNil)
+	return signed
+}
+
+func newTestStore(tb testing.TB, held ...*bundle.Signed) *bundle.Store {
+	tb.Helper()
+	store := bundle.NewStore(bundle.StoreOptions{Roots: []ed25519.PublicKey{testKey.Public().(ed25519.PublicKey)}, Now: time.Now})
+	for _, s := range held {
+		_, err := store.Offer(s, "test")
+		qt.Assert(tb, err, qt.IsNil)
+	}
+	return store
+}
+
+// transferPair is a server that changed from first to second, and a client.
+type transferPair struct {
+	first, second *bundle.Signed
+	responder     *responder
+	client        *transport.Client
+	address       netip.AddrPort
+	scope         tally.TestScope
+}
+
+func newTransferPair(tb testing.TB, services, targets int, change func(*schema.Bundle)) *transferPair {
+	b := designBundle(1, services, targets)
+	p := &transferPair{first: signDesign(tb, b, nil), scope: tally.NewTestScope("", nil)}
+	next := proto.CloneOf(b)
+	next.Sequence = 2
+	change(next)
+	p.second = signDesign(tb, next, p.first)
+	p.responder = newResponder(newTestStore(tb, p.first, p.second))
+	p.responder.remember(p.first)
+	p.responder.remember(p.second)
+	identity, err := transport.NewIdentity([][]byte{[]byte("0123456789abcdef")})
+	qt.Assert(tb, err, qt.IsNil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(tb, err, qt.IsNil)
+	vms := &vmDocument{version: 1, document: designVMs(440, 2300)}
+	server := transport.NewServer(listener, identity, func(r *schema.BundleRequest) (*schema.BundleResponse, error) {
+		return p.responder.respond(r, vms), nil
+	}, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx) }()
+	tb.Cleanup(func() { cancel(); <-done })
+	p.client = transport.NewClient(identity, p.scope)
+	p.address = listener.Addr().(*net.TCPAddr).AddrPort()
+	return p
+}
+
+// pull transfers into a store that holds held, and returns the bytes on the
+// wire in both directions.
+func (p *transferPair) pull(tb testing.TB, held *bundle.Signed, vmVersion uint64) (*bundle.Store, int64) {
+	tb.Helper()
+	store := newTestStore(tb)
+	if held != nil {
+		store = newTestStore(tb, held)
+	}
+	before := p.wire()
+	request := requestFor(held)
+	request.HaveVmVersion = vmVersion
+	response, err := p.client.Pull(tb.Context(), p.address, request)
+	qt.Assert(tb, err, qt.IsNil)
+	_, err = store.OfferResponse(response, "peer")
+	qt.Assert(tb, err, qt.IsNil)
+	return store, p.wire() - before
+}
+
+func (p *transferPair) wire() int64 {
+	counters := p.scope.Snapshot().Counters()
+	return counters["transport.bytes_read+"].Value() + counters["transport.bytes_written+"].Value()
+}
+
+func drainOne(b *schema.Bundle) {
+	b.Services[3].Targets[0].State = schema.TargetState_TARGET_STATE_DRAINING
+}
+
+// BenchmarkTransfer measures the bytes of a transfer on the wire, above TCP,
+// for a changed service, for a cold process, and for the VM list.
+func BenchmarkTransfer(b *testing.B) {
+	for _, services := range []int{220, 880} {
+		p := newTransferPair(b, services, 2300, drainOne)
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			var change, cold, withVMs int64
+			for b.Loop() {
+				p.responder.bytes.SetBurst(1 << 30)
+				p.responder.bytes.SetLimit(1 << 30)
+				_, change = p.pull(b, p.first, 1)
+				_, cold = p.pull(b, nil, 1)
+				_, withVMs = p.pull(b, p.first, 0)
+			}
+			b.ReportMetric(float64(len(p.second.Bytes())), "bundle_bytes")
+			b.ReportMetric(float64(change), "change_bytes")
+			b.ReportMetric(float64(cold), "cold_bytes")
+			b.ReportMetric(float64(withVMs-change), "vm_list_bytes")
+		})
+	}
+}
