--- a/internal/bundle/rollback.go
+++ b/internal/bundle/rollback.go
@@ -8,15 +8,21 @@
 	"github.com/heathergw/heathergw/schema"
 )
 
+// Unsigned returns a copy of the content without the fields that signing sets.
+func Unsigned(s *Signed) *schema.Bundle {
+	b := proto.CloneOf(s.Bundle())
+	b.PredecessorDigest, b.SignedAtUnixSeconds = nil, 0
+	return b
+}
+
 // RollBack returns a bundle with the content of an older one, to be signed on
 // top of the current one. With drainAdded, active targets that the older
 // content does not have stay as draining targets of their service, so that
 // their flows are not cut; a later bundle removes them. A target of a service
 // that the older content does not have cannot stay.
 func RollBack(old, current *Signed, drainAdded bool) *schema.Bundle {
-	b := proto.CloneOf(old.Bundle())
+	b := Unsigned(old)
 	b.Sequence = current.Sequence + 1
-	b.PredecessorDigest, b.SignedAtUnixSeconds = nil, 0
 	b.Note = fmt.Sprintf("roll-back to %s", old.Version())
 	if drainAdded {
 		addDraining(b, current.Bundle())
