Use the control budget for changes of load

Cause: with ten peers the periodic heartbeats use 3,240 of 4,096 B/s, so changes of load were rarely reported early; with six peers a third of the budget was unused. Change: an additional report takes the place of the next periodic one, all reports draw on one budget, and a change of one slot is reported while half of the burst is left.

--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -12,22 +12,21 @@
 	// two rounds to ten peers.
 	reportBurst = 20
 	// changeTold is the change of busy slots that is reported before the next
-	// periodic heartbeat. A change of one occurs with
-	// every opening and every end, which exceeds the budget.
+	// periodic heartbeat. A change of one occurs with every opening and every
+	// end, and is reported only while half of the burst is left.
 	changeTold = 2
 )
 
-// reportBudget limits reports beyond the periodic ones to what the periodic
-// ones leave of controlBudget.
+// reportBudget holds all reports to controlBudget. Periodic ones are always
+// sent and may overdraw it; additional ones need a token.
 type reportBudget struct {
 	tokens float64
 	at     int64
 }
 
-func (b *reportBudget) refill(peers int, interval, now int64) {
-	periodic := float64(peers*heartbeatBytes) * float64(second) / float64(interval)
-	rate := max(0, controlBudget-periodic) / heartbeatBytes
-	b.tokens = min(reportBurst, b.tokens+rate*float64(now-b.at)/float64(second))
+func (b *reportBudget) refill(now int64) {
+	const rate = float64(controlBudget) / heartbeatBytes / float64(second)
+	b.tokens = min(reportBurst, b.tokens+rate*float64(now-b.at))
 	b.at = now
 }
 
@@ -43,7 +42,7 @@
 		return dst
 	}
 	interval := int64(c.view.HeartbeatInterval)
-	c.reports.refill(len(c.peers), interval, now)
+	c.reports.refill(now)
 	l := c.load(now)
 	for _, t := range c.self.Service.Targets {
 		p := c.peers[t.ID]
@@ -57,17 +56,14 @@
 }
 
 func (c *Chooser) due(p *peer, l Load, interval, now int64) bool {
-	if p.beat == 0 || now-p.beat >= interval {
-		p.beat = now
-		return true
-	}
-	if l.Draining != p.told.Draining || l.Shedding != p.told.Shedding {
-		return true
-	}
-	if !c.worthTelling(p.told, l) || c.reports.tokens < 1 {
+	periodic := p.beat == 0 || now-p.beat >= interval
+	changed := l.Draining != p.told.Draining || l.Shedding != p.told.Shedding
+	if !periodic && !changed && (c.reports.tokens < 1 || !c.worthTelling(p.told, l)) {
 		return false
 	}
-	c.reports.tokens--
+	// An additional report takes the place of the next periodic one.
+	p.beat = now
+	c.reports.tokens = max(-reportBurst, c.reports.tokens-1)
 	return true
 }
 
@@ -75,6 +71,10 @@
 // a wrong one for long: openings may wait for a free slot that it does not know
 // of, or its knowledge is off by changeTold slots.
 func (c *Chooser) worthTelling(told, l Load) bool {
+	change := changeTold
+	if c.reports.tokens >= reportBurst/2 {
+		change = 1
+	}
 	freed := free(l, c.self) && !free(told, c.self)
-	return freed || l.Busy >= told.Busy+changeTold || l.Busy <= told.Busy-changeTold
+	return freed || l.Busy >= told.Busy+change || l.Busy <= told.Busy-change
 }
