Compare targets of equal weight without a logarithm

Change: targets of one weight are compared by their uniform value, which orders them as their scores do; Candidates breaks rounded ties the same way.

--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -28,6 +28,7 @@
 type scored struct {
 	target *bundle.Target
 	score  float64
+	u      float64
 	class  uint8
 }
 
@@ -38,6 +39,10 @@
 	if c := cmp.Compare(o.score, s.score); c != 0 {
 		return c
 	}
+	// Scores that differ in u only may round to the same value.
+	if c := cmp.Compare(o.u, s.u); c != 0 {
+		return c
+	}
 	return cmp.Compare(s.target.ID, o.target.ID)
 }
 
@@ -52,7 +57,8 @@
 	hash := flowHash(v, k)
 	home := homeOf(a)
 	for _, t := range a.Service.Targets {
-		list = append(list, scored{t, score(uniform(hash, t.ID), t), classOf(t, home)})
+		u := uniform(hash, t.ID)
+		list = append(list, scored{t, score(u, t), u, classOf(t, home)})
 	}
 	slices.SortFunc(list, func(x, y scored) int { return x.compare(&y) })
 	for i := range list {
@@ -67,7 +73,7 @@
 // target was rejected or that the service has none.
 func First(v *bundle.View, a *bundle.Address, k *packet.Key, skip func(*bundle.Target) bool) *bundle.Target {
 	var best *bundle.Target
-	var bestScore float64
+	var bestU float64
 	var bestClass uint8
 	hash := flowHash(v, k)
 	home := homeOf(a)
@@ -77,21 +83,27 @@
 			continue
 		}
 		u := uniform(hash, t.ID)
-		if best != nil && class == bestClass && scoreBound(u, t) < bestScore {
-			continue
-		}
-		s := score(u, t)
 		// Targets are ordered by id, so the earlier one keeps a tie.
-		if best != nil && class == bestClass && s <= bestScore {
+		if best != nil && class == bestClass && !beats(u, t, bestU, best) {
 			continue
 		}
 		if skip == nil || !skip(t) {
-			best, bestScore, bestClass = t, s, class
+			best, bestU, bestClass = t, u, class
 		}
 	}
 	return best
 }
 
+// beats reports whether a target's score is above that of another. It takes
+// logarithms only for targets of different weight that are close.
+func beats(u float64, t *bundle.Target, otherU float64, other *bundle.Target) bool {
+	if t.Weight == other.Weight {
+		return u > otherU
+	}
+	otherScore := score(otherU, other)
+	return scoreBound(u, t) > otherScore && score(u, t) > otherScore
+}
+
 // homeOf returns the preferred data centre of an address, or "" when the
 // service has no spill-over threshold and so no preference.
 func homeOf(a *bundle.Address) string {
