Test placement targets and faults in virtual time

Cause: the imbalance target, the control budget and the behaviour under faults were measured by hand only.

--- a/internal/placement/sim_policy_test.go
+++ b/internal/placement/sim_policy_test.go
@@ -107,6 +107,9 @@
 	redirects, displaced, waited, waitedFree int
 	refused, refusedFree, lost, failed       int
 	placedAtZero, controlBytes               int
+	// ramp counts the flows placed at target 0 in each 10 s from the middle
+	// of the run on.
+	ramp [4]int
 }
 
 func (r *simResult) count(s *sim, n *int) {
@@ -138,3 +141,20 @@
 func (r *simResult) imbalance() float64 { return r.ratio / r.ratioTime }
 
 func (r *simResult) per(n int) float64 { return float64(n) / float64(max(1, r.opened)) }
+
+// add sums up runs of several services; the time average is over all of them.
+func (r *simResult) add(o simResult) {
+	r.seconds = o.seconds
+	r.ratio += o.ratio
+	r.ratioTime += o.ratioTime
+	r.opened += o.opened
+	r.placed += o.placed
+	r.misplaced += o.misplaced
+	r.redirects += o.redirects
+	r.displaced += o.displaced
+	r.waited += o.waited
+	r.waitedFree += o.waitedFree
+	r.refused += o.refused
+	r.refusedFree += o.refusedFree
+	r.controlBytes += o.controlBytes
+}
--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -38,6 +38,9 @@
 	zeroReport bool
 	failFast   bool
 	cold       bool
+	// ample lifts the limit on probes; pageLimit instead limits all redirects
+	// to 1.2 per opening from an entry, as the design page had it.
+	ample, pageLimit bool
 	// partition splits the hosts in two halves over the middle third.
 	partition bool
 }
@@ -75,6 +78,7 @@
 
 type simAgent struct {
 	chooser *Chooser
+	tokens  float64
 	queue   *Queue[*simOpening]
 	heard   []int64
 }
@@ -251,15 +255,30 @@
 func (s *sim) deliver(i int, o *simOpening) { s.act(i, o, s.decide(i, o, 0)) }
 
 func (s *sim) decide(i int, o *simOpening, until int64) Decision {
+	a := s.agents[i]
+	if s.ample {
+		a.chooser.probes.tokens = probeBurst
+	}
+	if until == 0 && o.visited.VisitedLen == 0 {
+		a.tokens = min(probeBurst, a.tokens+1.2)
+	}
 	in := &Opening{Address: s.address, Candidates: o.candidates, Visited: &o.visited, Overflow: o.overflow, Until: until}
 	if s.twoChoices && until == 0 && o.visited.VisitedLen == 0 {
 		in.Candidates = o.candidates[:2]
-		if d := s.agents[i].chooser.Decide(in, s.now); d.Action == TakeLocal || d.Action == Redirect {
+		if d := a.chooser.Decide(in, s.now); d.Action == TakeLocal || d.Action == Redirect {
 			return d
 		}
 		in.Candidates = o.candidates
 	}
-	return s.agents[i].chooser.Decide(in, s.now)
+	d := a.chooser.Decide(in, s.now)
+	if d.Action != Redirect || !s.pageLimit {
+		return d
+	}
+	if a.tokens < 1 {
+		return Decision{Action: Wait, Until: max(until, s.now+second/2)}
+	}
+	a.tokens--
+	return d
 }
 
 func (s *sim) act(i int, o *simOpening, d Decision) {
@@ -363,6 +382,9 @@
 	s.measured.count(s, &s.measured.placed)
 	if i == 0 {
 		s.measured.count(s, &s.measured.placedAtZero)
+		if window := (s.now - s.end/2) / (10 * second); s.now >= s.end/2 && window < int64(len(s.measured.ramp)) {
+			s.measured.ramp[window]++
+		}
 	}
 	s.change(i, 1)
 	s.after(o.hold, func() {
