Find flows of an address that moved between services

The state machine test found flows that were not reachable after an address moved to another service while agents restarted: the new service's agents asked only their own service, a restarted agent refused to adopt by the service check, two owners of one reused tuple overwrote each other's registrations, and an entry's cache named a target of the former service for ever. Change: agents also ask the targets that served the address before, adoption relies on the host's connection, a misled owner withdraws its registration, and a hint without an owner clears the entry's cache. The test still finds a further case; open.

--- a/internal/flow/agent.go
+++ b/internal/flow/agent.go
@@ -75,6 +75,7 @@
 	pending      []pendingRegistration
 	queryBudget  budget
 	left         map[uint32]int64
+	former       map[uint32]formerTarget
 	gone         map[uint32]bool
 	host         HostReport
 	hostSeen     int64
@@ -99,7 +100,7 @@
 	a := &Agent{
 		cfg: cfg, peers: map[uint32]*peer{}, queries: map[packet.Key]*query{},
 		hostAsks: map[packet.Key]*hostAsk{}, sources: sources{},
-		left: map[uint32]int64{}, gone: map[uint32]bool{}, hostStartID: cfg.HostStartID,
+		left: map[uint32]int64{}, former: map[uint32]formerTarget{}, gone: map[uint32]bool{}, hostStartID: cfg.HostStartID,
 		queryBudget: budget{rate: queriesPerSecond, burst: queriesPerSecond, tokens: queriesPerSecond},
 	}
 	for i := range a.shards {
@@ -156,6 +157,40 @@
 			delete(a.left, id)
 		}
 	}
+	a.noteFormer(old, v, now)
+}
+
+// formerTarget served an address of this service under an earlier view and may
+// have flows of it until the drain deadline.
+type formerTarget struct {
+	agent netip.AddrPort
+	until int64
+}
+
+// noteFormer keeps the targets that served an address of this service in the
+// old view and do not in the new one.
+func (a *Agent) noteFormer(old, v *bundle.View, now int64) {
+	service := v.Service(a.service.Load())
+	if old == nil || service == nil {
+		return
+	}
+	for _, address := range service.Addresses {
+		before := old.Lookup(&packet.Key{Protocol: address.Protocol, Destination: address.AddrPort})
+		if before == nil {
+			continue
+		}
+		for _, t := range before.Service.Targets {
+			a.former[t.ID] = formerTarget{t.Agent, now + int64(service.Rules.DrainDeadline)}
+		}
+	}
+	for _, t := range service.Targets {
+		delete(a.former, t.ID)
+	}
+	for id, f := range a.former {
+		if now >= f.until {
+			delete(a.former, id)
+		}
+	}
 }
 
 // targetsLocked returns the targets of the agent's service.
@@ -229,6 +264,9 @@
 		a.toHost(e.packet.Data, out)
 	case deliverOpening:
 		a.deliverOpening(e.packet, out)
+	case foreign:
+		a.withdraw(e, out)
+		a.unowned(e, out)
 	case discardNoACK:
 		a.Counters.add(DropNoACK)
 	case discardLate:
@@ -280,7 +318,14 @@
 	}
 	address := view.Lookup(&e.packet.Key)
 	if address == nil || address.Service.ID != a.service.Load() {
-		a.Counters.add(DropOtherService)
+		if !a.learning.Load() || !hasAck(e.packet) || e.foreign {
+			a.Counters.add(DropOtherService)
+			a.denyOwner(e, out)
+			return
+		}
+		// Only the host can show that the flow was opened here under an
+		// earlier view; the question carries no byte of the packet.
+		a.ask(e, nil, out)
 		return
 	}
 	if a.followRegistration(e, out) {
@@ -381,13 +426,8 @@
 	a.count(before, -1)
 	a.mu.Lock()
 	a.sources.remove(r.key.Source.Addr())
-	for _, id := range r.registered {
-		if id != 0 {
-			a.pending = append(a.pending, pendingRegistration{target: id, key: r.key, ended: true})
-		}
-	}
+	a.endRegistrationsLocked(r)
 	a.mu.Unlock()
 	a.cfg.Chooser.FlowEnded(&r.slot, r.endedByHost, now)
-	r.registered = [2]uint32{}
 	s.bury(r, now)
 }
--- a/internal/flow/answer.go
+++ b/internal/flow/answer.go
@@ -74,13 +74,9 @@
 // adopt makes a record for a connection that the host has. Held packets and
 // queries are then judged by the ISN rule like any other.
 func (a *Agent) adopt(p *packet.Packet, k *packet.Key, asked *hostAsk, q *query, now int64, out *Actions) {
-	view := a.view.Load()
-	if view == nil {
-		a.Counters.add(DropReturn)
-		return
-	}
-	address := view.Lookup(k)
-	if address == nil || address.Service.ID != a.service.Load() {
+	// The address may have moved to another service since the opening. The
+	// connection at the host shows that the flow belongs here (R1).
+	if view := a.view.Load(); asked == nil && (view == nil || view.Lookup(k) == nil) {
 		a.Counters.add(DropReturn)
 		return
 	}
--- a/internal/flow/hold.go
+++ b/internal/flow/hold.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -95,8 +96,8 @@
 	}
 }
 
-// startQuery sends the owner query to every other target of the service. The
-// own host is asked too when it may have a connection without a record. Agent.mu
+// startQuery sends the owner query to every other target of the service, and to
+// those that served its addresses before; without a view it asks none. The own host is asked too when it may have a connection without a record. Agent.mu
 // is held.
 func (a *Agent) startQuery(e *event, view *bundle.View, out *Actions) *query {
 	p := e.packet
@@ -104,18 +105,26 @@
 	a.queries[p.Key] = q
 	key, _ := p.Key.AppendBinary(nil)
 	hasAck := hasAck(p)
-	for _, t := range a.targetsLocked(view) {
-		if t.ID == a.cfg.TargetID {
-			continue
+	send := func(id uint32, to netip.AddrPort) {
+		if id == a.cfg.TargetID {
+			return
 		}
-		q.waiting = append(q.waiting, t.ID)
-		out.Controls = append(out.Controls, Control{To: t.Agent, Message: &schema.Control{
+		q.waiting = append(q.waiting, id)
+		out.Controls = append(out.Controls, Control{To: to, Message: &schema.Control{
 			Body: &schema.Control_OwnerQuery{OwnerQuery: &schema.OwnerQuery{
 				FlowKey: key, ServiceId: a.service.Load(), Ack: p.Ack, HasAck: hasAck,
 			}},
 		}})
 		a.Counters.add(QueriesSent)
 	}
+	for _, t := range a.targetsLocked(view) {
+		send(t.ID, t.Agent)
+	}
+	if view != nil {
+		for _, id := range slices.Sorted(maps.Keys(a.former)) {
+			send(id, a.former[id].agent)
+		}
+	}
 	registered := e.hasFlag(schema.ForwardFlag_FORWARD_FLAG_REGISTERED_OWNER)
 	if hasAck && (a.learning.Load() || registered) && !e.foreign {
 		q.hostPending = true
@@ -222,6 +231,21 @@
 	out.Forwards = append(out.Forwards, Forward{Header: h, Packet: data, To: to})
 }
 
+// denyOwner tells an entry that its cache names the wrong target, by a hint
+// without an owner. After an address moved to another service the entry would
+// otherwise send here for as long as it keeps the cache entry.
+func (a *Agent) denyOwner(e *event, out *Actions) {
+	if e.packet.IsOpening() {
+		return
+	}
+	a.mu.Lock()
+	allowed := a.queryBudget.spend(e.now)
+	a.mu.Unlock()
+	if allowed {
+		a.hint(&e.packet.Key, 0, e.header, e.from, out)
+	}
+}
+
 // hint tells an entry who owns the flow. Agents need none.
 func (a *Agent) hint(k *packet.Key, owner uint32, h *wire.Forward, from netip.AddrPort, out *Actions) {
 	if h.SenderTargetID != 0 {
--- a/internal/flow/network_test.go
+++ b/internal/flow/network_test.go
@@ -32,6 +32,8 @@
 	lossy      bool
 	stray      float64 // share of packets that an entry sends to a random target
 	violations []string
+	tracing    bool
+	trace      []string
 }
 
 type timed struct {
@@ -155,6 +157,12 @@
 	n.violations = append(n.violations, fmt.Sprintf("at %v: ", time.Duration(n.now))+fmt.Sprintf(format, args...))
 }
 
+func (n *network) logf(format string, args ...any) {
+	if n.tracing {
+		n.trace = append(n.trace, fmt.Sprintf("%v ", time.Duration(n.now))+fmt.Sprintf(format, args...))
+	}
+}
+
 func (n *network) at(delay time.Duration, run func()) {
 	n.order++
 	heap.Push(&n.events, timed{n.now + int64(delay), n.order, run})
@@ -171,6 +179,7 @@
 }
 
 func (n *network) startAgent(d *node) {
+	n.logf("agent %d starts", d.id)
 	d.starts++
 	d.counter = 0
 	d.agent = New(Config{
@@ -216,11 +225,14 @@
 		m.SenderStartId, m.Counter, m.SenderTargetId, m.BundleSequence = d.starts, d.counter, d.id, d.view.Sequence
 		if h := m.GetOwnerHint(); h != nil {
 			if k, err := packet.KeyFromBinary(h.GetFlowKey()); err == nil {
-				n.hints[k] = h.GetOwnerTargetId()
+				n.hints[k] = h.GetOwnerTargetId() // 0 removes the entry's cache entry
 			}
 			continue
 		}
 		n.send(d, c.To, func(to *node) {
+			if m.GetHeartbeat() == nil {
+				n.logf("agent %d gets control from %d: %v", to.id, d.id, m.GetBody())
+			}
 			n.do(to, func(out *Actions) { to.agent.Control(m, agentAddress(d.id), n.now, out) })
 		})
 	}
@@ -275,6 +287,7 @@
 		n.fail("malformed packet: %v", err)
 		return
 	}
+	n.logf("agent %d gets %v flags %x seq %d ack %d from target %d", d.id, p.Key, p.Flags, p.Seq, p.Ack, h.SenderTargetID)
 	n.do(d, func(out *Actions) { d.agent.FromPeer(&p, &h, from, n.now, out) })
 }
 
@@ -355,6 +368,7 @@
 }
 
 func (n *network) callerGets(c *caller, p *packet.Packet) {
+	n.logf("caller in %s gets %v flags %x seq %d ack %d", c.state, p.Key, p.Flags, p.Seq, p.Ack)
 	switch {
 	case p.Flags&packet.FlagRST != 0:
 		switch {
@@ -412,6 +426,7 @@
 	if p.Key.Protocol != packet.ProtocolTCP {
 		return
 	}
+	n.logf("host %d gets %v flags %x seq %d ack %d payload %d", d.id, p.Key, p.Flags, p.Seq, p.Ack, p.PayloadLen)
 	c := d.conns[p.Key]
 	switch {
 	case p.IsOpening():
@@ -501,6 +516,7 @@
 		if d.agent == nil || d.paused || v.Sequence <= d.view.Sequence {
 			continue
 		}
+		n.logf("node %d has view %d", d.id, v.Sequence)
 		d.view = v
 		n.do(d, func(out *Actions) { d.agent.SetView(v, n.now, out) })
 	}
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -58,6 +58,9 @@
 	callerFINEnd, hostFINEnd uint32
 	finished, rstSeen        bool
 	endedByHost              bool
+	// stale marks a flow whose caller seems to use the addresses and ports for
+	// a connection to another target. It is not registered.
+	stale bool
 	// superseded marks a claim that another target has won.
 	superseded bool
 	// hostData is true once the host sent payload.
@@ -131,6 +134,9 @@
 
 func (r *record) acknowledged(p *packet.Packet) {
 	r.state = open
+	if r.stale {
+		r.stale, r.epoch = false, 0
+	}
 	end := p.SeqEnd()
 	if p.PayloadLen > 0 {
 		r.requested, r.hostPushed = true, false
--- a/internal/flow/registration.go
+++ b/internal/flow/registration.go
@@ -30,7 +30,7 @@
 func (a *Agent) registerFlow(r *record, now int64) {
 	view := a.view.Load()
 	r.epoch, r.registeredAt = a.epoch.Load(), now
-	if view == nil {
+	if view == nil || r.stale {
 		return
 	}
 	address := view.Lookup(&r.key)
@@ -55,6 +55,39 @@
 	}
 }
 
+// withdraw takes the registrations of a flow back when a registrar sends a
+// packet that belongs to another connection of the same addresses and ports.
+// Two owners that refresh registrations would otherwise take turns.
+func (a *Agent) withdraw(e *event, out *Actions) {
+	if !e.hasFlag(schema.ForwardFlag_FORWARD_FLAG_REGISTERED_OWNER) || e.header.SenderTargetID == 0 {
+		return
+	}
+	s := a.shard(&e.packet.Key)
+	s.mu.Lock()
+	r := s.flows[e.packet.Key]
+	if r == nil || r.state == halfOpen {
+		s.mu.Unlock()
+		return
+	}
+	r.stale = true
+	a.mu.Lock()
+	a.endRegistrationsLocked(r)
+	a.mu.Unlock()
+	s.mu.Unlock()
+	out.Controls = append(out.Controls, a.registrationsTo(e.from, []pendingRegistration{{key: e.packet.Key, ended: true}}))
+}
+
+// endRegistrationsLocked queues the end of a record's registrations. The shard
+// and Agent.mu are locked.
+func (a *Agent) endRegistrationsLocked(r *record) {
+	for _, id := range r.registered {
+		if id != 0 {
+			a.pending = append(a.pending, pendingRegistration{target: id, key: r.key, ended: true})
+		}
+	}
+	r.registered = [2]uint32{}
+}
+
 // registrarsLocked returns the targets that have to know of a flow: the first
 // two candidates that are heard, without this target, and the first candidate
 // in any case. A flow at its first candidate needs none.
