--- a/internal/standin/callerflow.go
+++ b/internal/standin/callerflow.go
@@ -228,7 +228,7 @@
 	case Unopened:
 		ledger.count(func(r *Report) *int { return &r.FlowsUnopened }, "%s: %s", f.tcp.key, reason)
 	case Broken:
-		ledger.count(func(r *Report) *int { return &r.FlowsBroken }, "%s: %s", f.tcp.key, reason)
+		ledger.flowBroken(f.tcp.key, reason)
 		f.tcp.abort()
 	}
 	close(f.done)
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -64,6 +64,9 @@
 	drainSince     time.Time
 	acceptAndClose bool
 	openings       int
+	// served holds the key of every connection that was established, over all
+	// starts.
+	served map[packet.Key]bool
 }
 
 type hostConn struct {
@@ -81,7 +84,7 @@
 
 // NewHost starts a host on free loopback ports.
 func NewHost(options HostOptions) (*Host, error) {
-	h := &Host{options: options, address: "127.0.0.1:0", random: rand.New(rand.NewPCG(options.Seed, 3))}
+	h := &Host{options: options, address: "127.0.0.1:0", random: rand.New(rand.NewPCG(options.Seed, 3)), served: map[packet.Key]bool{}}
 	h.health.address = "127.0.0.1:0"
 	if err := h.Start(); err != nil {
 		return nil, err
@@ -206,6 +209,13 @@
 	return h.openings
 }
 
+// Served reports whether the flow was ever established at the host.
+func (h *Host) Served(key packet.Key) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.served[key]
+}
+
 // Connections returns the number of open connections.
 func (h *Host) Connections() int {
 	h.mu.Lock()
@@ -293,6 +303,7 @@
 
 func (h *Host) opened(now time.Time, key packet.Key, c *hostConn) {
 	h.openings++
+	h.served[key] = true
 	c.expire = time.Time{}
 	if !h.drainSince.IsZero() && now.Sub(h.drainSince) > drainBound+h.health.getLag() {
 		h.options.Ledger.count(func(r *Report) *int { return &r.LateOpenings },
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -55,6 +55,7 @@
 	ran      map[attempt]bool
 	refused  map[attempt]bool
 	load     map[uint32]serviceLoad
+	broken   []packet.Key
 	events   []string
 	lastID   uint64
 }
@@ -116,6 +117,21 @@
 	}
 }
 
+// Broken returns the keys of the broken flows.
+func (l *Ledger) Broken() []packet.Key {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]packet.Key(nil), l.broken...)
+}
+
+func (l *Ledger) flowBroken(key packet.Key, reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.report.FlowsBroken++
+	l.broken = append(l.broken, key)
+	l.note("%s: %s", key, reason)
+}
+
 func (l *Ledger) nextID() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
