Measure the spread of a bundle at the design size

Cause: the targets (4 s, 11 KB/s, 2,000 reads a second) need figures at 440 entries and 2,300 agents. Ruled out: measuring with sockets, which one machine cannot hold.

--- a/internal/dissemination/fleet_test.go
+++ b/internal/dissemination/fleet_test.go
@@ -38,10 +38,17 @@
 	// wholeGossip sends the whole bundle to a random peer on every
 	// announcement (baseline).
 	wholeGossip bool
-	// transferBytes is the size of a difference on the wire with handshake.
-	transferBytes, fullBytes int
 }
 
+// Sizes on the wire at the design size, from BenchmarkTransfer with 880
+// services, with 25% for TCP and IP headers of small segments.
+const (
+	streamBytes = 2000 // handshakes
+	changeBytes = 700
+	wholeBytes  = 66000
+	vmListBytes = 17000
+)
+
 type fleet struct {
 	config fleetConfig
 	random *rand.Rand
@@ -114,9 +121,6 @@
 }
 
 func newFleet(config fleetConfig) *fleet {
-	if config.transferBytes == 0 {
-		config.transferBytes, config.fullBytes = 4<<10, 100<<10
-	}
 	f := &fleet{
 		config:    config,
 		random:    rand.New(rand.NewPCG(config.seed, 7)),
@@ -250,6 +254,9 @@
 	if out.ReadPlatform {
 		f.readPlatform(n)
 	}
+	if f.config.allWatch {
+		out.StartWatch, out.StopWatch = false, false
+	}
 	if out.StartWatch {
 		f.startWatch(n)
 	}
@@ -292,7 +299,7 @@
 	}
 	size := datagramHeader + envelopeBytes + proto.Size(a.Message)
 	if f.config.wholeGossip {
-		size += f.config.fullBytes
+		size += wholeBytes
 	}
 	f.count(from, size)
 	if f.lost(from, to) {
@@ -304,7 +311,12 @@
 			version, _ := versionOf(a.Message)
 			f.receive(to, version)
 		}
-		f.do(to, func(out *Actions) { to.core.Announcement(from.address, a.Message, f.now, out) })
+		f.do(to, func(out *Actions) {
+			to.core.Announcement(from.address, a.Message, f.now, out)
+			if f.config.wholeGossip {
+				out.Pulls, out.Announcements = nil, nil
+			}
+		})
 	})
 }
 
@@ -314,6 +326,9 @@
 			n.core.Received(version, "peer", f.now, out)
 			f.applied(n)
 		}
+		if f.config.wholeGossip {
+			out.Announcements = nil
+		}
 	})
 }
 
@@ -346,10 +361,7 @@
 			f.do(n, func(out *Actions) { core.PullDone(peer, PullFailed, f.now, out) })
 			return
 		}
-		size := f.config.transferBytes
-		if core.Held() == (Version{}) {
-			size = f.config.fullBytes
-		}
+		size := f.transferSize(n, from)
 		f.count(n, size)
 		f.count(from, size)
 		f.do(n, func(out *Actions) {
@@ -367,6 +379,20 @@
 	})
 }
 
+func (f *fleet) transferSize(n, from *node) int {
+	size := streamBytes
+	switch {
+	case n.core.Held() == (Version{}):
+		size += wholeBytes
+	case from.core.Held().Compare(n.core.Held()) > 0:
+		size += changeBytes
+	}
+	if from.core.vms.version > n.core.vms.version {
+		size += vmListBytes
+	}
+	return size
+}
+
 func (f *fleet) countRead() {
 	f.platform.reads[f.now/time.Second]++
 	f.platform.totalRead++
@@ -501,6 +527,32 @@
 	return count
 }
 
+// worstMinute returns the highest mean number of platform reads a second over
+// one minute.
+func (f *fleet) worstMinute(since time.Duration) (worst float64) {
+	for first := since / time.Second; first <= f.now/time.Second; first++ {
+		sum := 0
+		for second := first; second < first+60; second++ {
+			sum += f.platform.reads[second]
+		}
+		worst = max(worst, float64(sum)/60)
+	}
+	return worst
+}
+
+// traffic returns the mean and the highest bytes a second of a process in
+// [since, now), sent and received.
+func (f *fleet) traffic(since time.Duration) (mean, worst float64) {
+	first, end := since/time.Second, f.now/time.Second
+	for _, n := range f.nodes {
+		for second := first; second < end; second++ {
+			mean += float64(n.bytes[second])
+			worst = max(worst, float64(n.bytes[second]))
+		}
+	}
+	return mean / float64(len(f.nodes)) / float64(end-first), worst
+}
+
 // worstSecond returns the highest number of platform reads in one second.
 func (f *fleet) worstSecond(since time.Duration) (worst int) {
 	for second, reads := range f.platform.reads {
