Keep the answer to a question to the host from the caller

The state machine test found three faults. A late datagram of a peer's former process made the agent drop the living one for ever; the counter now decides. The host's reset to an adoption question could reach a caller whose opening was taken meanwhile; it is now matched to the question first. Hints came from provisional registrations, and an entry's wrong cache entry was never cleared.

--- a/internal/flow/agent.go
+++ b/internal/flow/agent.go
@@ -355,6 +355,12 @@
 // FromHost handles a packet that the host sent from a service address.
 func (a *Agent) FromHost(p *packet.Packet, now int64, out *Actions) {
 	key := p.Key.Reverse()
+	if p.Flags&packet.FlagRST != 0 && a.asked(&key) {
+		// The reset answers a question that was put before an opening of the
+		// same flow was taken; it must not reach the caller.
+		a.hostRevealed(p, &key, now, out)
+		return
+	}
 	s := a.shard(&key)
 	s.mu.Lock()
 	r := s.flows[key]
--- a/internal/flow/answer.go
+++ b/internal/flow/answer.go
@@ -33,6 +33,13 @@
 	out.ToHost = append(out.ToHost, segment)
 }
 
+// asked reports whether the host has an open question for the flow.
+func (a *Agent) asked(k *packet.Key) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.hostAsks[*k] != nil
+}
+
 // hostRevealed handles a return packet of a flow without a record. An agent
 // that was restarted beside a living host adopts the flow, because the host
 // itself shows that it has the connection.
--- a/internal/flow/hold.go
+++ b/internal/flow/hold.go
@@ -181,6 +181,13 @@
 	}
 	a.Counters.values[DropNoOwner].Add(uint64(len(q.held)))
 	a.disown(q, out)
+	for i := range q.held {
+		h := &q.held[i]
+		if i == 0 || h.from != q.held[i-1].from {
+			// An entry's cache may name this target by mistake.
+			a.hint(&q.key, 0, &h.header, h.from, out)
+		}
+	}
 	if !q.namedMe || !q.hostRefused || q.uncertain {
 		return
 	}
--- a/internal/flow/peers.go
+++ b/internal/flow/peers.go
@@ -17,9 +17,12 @@
 type peer struct {
 	agent netip.AddrPort
 	heard int64
-	// start is the sender's start id; previous the one before, whose late
-	// datagrams are dropped.
-	start, previous uint64
+	// start is the sender's start id and newest the highest counter from it;
+	// previous and previousNewest are those of the start before. Start ids have
+	// no order, and a datagram of the former process may arrive after one of
+	// its successor: the counter tells a late datagram from a living process.
+	start, previous        uint64
+	newest, previousNewest uint64
 	// counter of the newest heartbeat of this start.
 	counter uint64
 	silent  bool
@@ -107,7 +110,7 @@
 		return false
 	}
 	p := a.peerLocked(sender, now)
-	if m.GetSenderStartId() == p.previous && p.previous != 0 {
+	if p.previous != 0 && m.GetSenderStartId() == p.previous && m.GetCounter() <= p.previousNewest {
 		return false
 	}
 	if m.GetSenderStartId() != p.start {
@@ -115,8 +118,10 @@
 			// A restarted agent has lost its registrations.
 			a.epoch.Add(1)
 		}
-		p.previous, p.start, p.counter = p.start, m.GetSenderStartId(), 0
+		p.previous, p.previousNewest = p.start, p.newest
+		p.start, p.newest, p.counter = m.GetSenderStartId(), 0, 0
 	}
+	p.newest = max(p.newest, m.GetCounter())
 	if m.GetHeartbeat() != nil {
 		if m.GetCounter() <= p.counter {
 			return false
--- a/internal/flow/registration.go
+++ b/internal/flow/registration.go
@@ -321,7 +321,7 @@
 		h.Visit(a.cfg.TargetID)
 	}
 	a.forward(p.Data, h, g.agent, e.now, out)
-	if hint && !opening {
+	if hint && !opening && !g.provisional {
 		a.hint(&p.Key, g.owner, e.header, e.from, out)
 	}
 	return true
