--- a/internal/placement/sim_test.go
+++ b/internal/placement/sim_test.go
@@ -139,11 +139,10 @@
 	work := rand.New(rand.NewPCG(s.seed, 1))
 	gap := float64(s.hold) / (s.load * float64(s.hosts*s.slots))
 	at := 0.0
-	for i := range s.openings {
+	for range s.openings {
 		at += work.ExpFloat64() * gap
 		k := testKey(int(work.Uint32() >> 2))
 		o := &simOpening{hold: int64(work.ExpFloat64() * float64(s.hold)), side: work.IntN(2)}
-		_ = i
 		s.at(int64(at), func() {
 			o.candidates = Candidates(s.view, s.address, k, nil)
 			s.open(o)
