--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -41,7 +41,7 @@
 	parts, err := standin.NewFleet(standin.BlueMahoe(seed))
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(parts.Close)
-	f := &fleet{Fleet: parts, c: c, folder: c.Mkdir()}
+	f := &fleet{Fleet: parts, c: c, folder: t.TempDir()}
 	for _, s := range parts.Entries {
 		f.entries = append(f.entries, newProcess(c, f.folder, s))
 	}
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -151,6 +152,8 @@
 	return s, json.Unmarshal(body, &s)
 }
 
+var errBehind = errors.New("bundle is not in force")
+
 // awaitBundle waits until each process is ready with the sequence in force.
 func awaitBundle(processes []*process, sequence uint64, limit time.Duration) error {
 	deadline := time.Now().Add(limit)
@@ -161,8 +164,8 @@
 				break
 			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s has sequence %d (ready %v, error %v), want %d within %v",
-					p.settings.GetName(), s.Sequence, s.Ready, err, sequence, limit)
+				return fmt.Errorf("%s has sequence %d (ready %v), want %d within %v: %w",
+					p.settings.GetName(), s.Sequence, s.Ready, sequence, limit, errors.Join(err, errBehind))
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
