Check the service of an opening for a flow that has a record

The state machine test saw an opening delivered to a host of the former service: its claim was taken under an earlier view and the host had restarted since, so the repeated opening began a new connection there (P2). Change: an opening is delivered only when the newest view gives its address to the target's service; the exception for owned flows holds for other packets.

--- a/internal/flow/agent.go
+++ b/internal/flow/agent.go
@@ -263,6 +263,12 @@
 	case deliver:
 		a.toHost(e.packet.Data, out)
 	case deliverOpening:
+		// An opening may begin a new connection, so that the exception of R1
+		// for owned flows does not hold for it.
+		if !a.serves(&e.packet.Key) {
+			a.Counters.add(DropOtherService)
+			return
+		}
 		a.deliverOpening(e.packet, out)
 	case foreign:
 		a.withdraw(e, out)
@@ -276,6 +282,17 @@
 	}
 }
 
+// serves reports whether the newest view gives the address to the service of
+// this target (R1).
+func (a *Agent) serves(k *packet.Key) bool {
+	view := a.view.Load()
+	if view == nil {
+		return false
+	}
+	address := view.Lookup(k)
+	return address != nil && address.Service.ID == a.service.Load()
+}
+
 // apply runs the packet against the flow's record, if there is one.
 func (a *Agent) apply(p *packet.Packet, now int64) verdict {
 	s := a.shard(&p.Key)
--- a/internal/flow/network_test.go
+++ b/internal/flow/network_test.go
@@ -96,7 +96,6 @@
 	dead             bool // the host of the flow is gone
 	opened           int64
 	timer            int
-	openService      uint32
 }
 
 var serviceAddress = netip.MustParseAddrPort("198.51.100.1:443")
@@ -316,7 +315,7 @@
 }
 
 // open starts a caller; its SYN carries payload, which no host may see.
-func (n *network) open(port uint16) *caller {
+func (n *network) open(port uint16) {
 	k := packet.Key{Protocol: packet.ProtocolTCP, Destination: serviceAddress, Source: callerAddress(port)}
 	c := &caller{key: k, state: "syn", isn: n.rng.Uint32(), hosts: map[uint32]bool{}, opened: n.now}
 	if old := n.callers[k]; old != nil {
@@ -325,7 +324,6 @@
 	c.sndNxt, c.una, c.incarnation = c.isn+1, c.isn+1, c.isn
 	n.callers[k] = c
 	n.transmit(c)
-	return c
 }
 
 // transmit sends what is unacknowledged and repeats it.
