Carry small differences on announcements

Cause: at 30% loss a pull hangs in retransmissions for up to 15 s, and its TLS handshake costs three times the difference itself. Change: a push or a reply to a peer whose bundle is known carries the patch when it has at most 1,100 B (schema: Announcement.difference, message Difference, nothing renumbered). Larger ones are pulled as before. The content is verified as in a pull, and a difference from another base is ignored.

--- a/internal/dissemination/actions.go
+++ b/internal/dissemination/actions.go
@@ -27,6 +27,9 @@
 type Announcement struct {
 	To      netip.AddrPort
 	Message *schema.Announcement
+	// Base is the bundle that the peer probably holds; the zero value when it
+	// is not known. A small difference from it may ride on the message.
+	Base Version
 }
 
 // Change is one record for the audit trail.
--- a/internal/dissemination/core.go
+++ b/internal/dissemination/core.go
@@ -173,7 +173,7 @@
 	c.heardDataCentre(m.GetDataCentre(), behind)
 	ahead := c.held.Compare(version) > 0 || c.vms.version > m.GetVmVersion()
 	if m.GetReplyRequested() || ahead && !behind {
-		c.reply(from, now, out)
+		c.reply(from, version, now, out)
 	}
 	c.nextPull(now, out)
 }
@@ -194,12 +194,13 @@
 	if version.Compare(c.held) <= 0 {
 		return
 	}
+	previous := c.held
 	c.held = version
 	c.pulls.failures = 0
 	c.start.stale = false
 	c.dropOffers()
 	for _, peer := range c.pushTargets() {
-		c.announce(peer, false, now, out)
+		c.announceFrom(peer, previous, now, out)
 	}
 }
 
@@ -228,9 +229,18 @@
 // SetReaders replaces the number of readers in each data centre.
 func (c *Core) SetReaders(n int) { c.config.Readers = n }
 
-func (c *Core) reply(to netip.AddrPort, now time.Duration, out *Actions) {
+func (c *Core) reply(to netip.AddrPort, held Version, now time.Duration, out *Actions) {
 	if c.replies.AllowN(time.Unix(0, int64(now)), 1) {
-		c.announce(to, false, now, out)
+		c.announceFrom(to, held, now, out)
+	}
+}
+
+// announceFrom announces to a peer that probably holds base.
+func (c *Core) announceFrom(to netip.AddrPort, base Version, now time.Duration, out *Actions) {
+	n := len(out.Announcements)
+	c.announce(to, false, now, out)
+	if len(out.Announcements) > n && base.Compare(c.held) < 0 {
+		out.Announcements[n].Base = base
 	}
 }
 
--- a/internal/dissemination/fleet_test.go
+++ b/internal/dissemination/fleet_test.go
@@ -301,13 +301,16 @@
 	if f.config.wholeGossip {
 		size += wholeBytes
 	}
+	if a.Base != (Version{}) {
+		size += changeBytes
+	}
 	f.count(from, size)
 	if f.lost(from, to) {
 		return
 	}
 	f.after(f.delay(from, to), func() {
 		f.count(to, size)
-		if f.config.wholeGossip {
+		if f.config.wholeGossip || a.Base != (Version{}) && a.Base == to.core.Held() {
 			version, _ := versionOf(a.Message)
 			f.receive(to, version)
 		}
--- a/internal/dissemination/patch.go
+++ b/internal/dissemination/patch.go
@@ -101,21 +101,28 @@
 	}
 }
 
-// restore puts the manifest of a response back in place of its patch. held is
-// the manifest that the request named, or nil.
-func restore(response *schema.BundleResponse, held *schema.Manifest) error {
+// restore returns the response with its manifest in place of its patch. held
+// is the manifest that the request named, or nil. The argument may be shared
+// and stays as it is.
+func restore(response *schema.BundleResponse, held *schema.Manifest) (*schema.BundleResponse, error) {
 	if response.GetPatch() == nil {
-		return nil
+		return response, nil
 	}
-	if held == nil || response.GetSigned() == nil {
-		return errNoBase
+	signed := response.GetSigned()
+	if held == nil || signed == nil {
+		return nil, errNoBase
 	}
 	encoded, err := applyPatch(held, response.GetPatch())
 	if err != nil {
-		return err
-	}
-	response.Signed.Manifest, response.Patch = encoded, nil
-	return nil
+		return nil, err
+	}
+	return &schema.BundleResponse{
+		Signed: &schema.SignedManifest{
+			Manifest: encoded, Signature: signed.GetSignature(),
+			PublicKey: signed.GetPublicKey(), Endorsements: signed.GetEndorsements(),
+		},
+		Sections: response.GetSections(),
+	}, nil
 }
 
 // accept puts the bundle of a response in force when it is greater. held is
@@ -126,7 +133,8 @@
 	if held != nil {
 		manifest = held.Manifest()
 	}
-	if err := restore(response, manifest); err != nil {
+	response, err := restore(response, manifest)
+	if err != nil {
 		return err
 	}
 	signed, err := bundle.Assemble(response, held)
--- a/internal/dissemination/responder.go
+++ b/internal/dissemination/responder.go
@@ -20,6 +20,9 @@
 	// maxBases is the number of recent bundles against which differences are
 	// computed. At 810 changes a day it covers the last 14 minutes.
 	maxBases = 8
+	// maxInlineBytes bounds a difference on an announcement, which then stays
+	// within a packet of 1,400 bytes.
+	maxInlineBytes = 1100
 )
 
 // responder answers pulls with what the requester lacks. It knows the sections
@@ -31,6 +34,10 @@
 
 	mu    sync.Mutex // guards bases; no other lock is taken under it
 	bases []*base
+	// inlineBase and inlineFor key the difference that was computed last: a
+	// push sends the same one to several peers.
+	inlineBase, inlineFor Version
+	inlined               *schema.Difference
 }
 
 type base struct {
@@ -102,3 +109,24 @@
 	shrink(response, known.manifest, current.Manifest())
 	return response
 }
+
+// inline returns the difference from base to the bundle in force for an
+// announcement, or nil when the base is not known or the difference is large.
+func (r *responder) inline(from Version) *schema.Difference {
+	current := r.store.Version()
+	r.mu.Lock()
+	if r.inlineBase == from && r.inlineFor == current {
+		defer r.mu.Unlock()
+		return r.inlined
+	}
+	r.mu.Unlock()
+	response := r.difference(&schema.BundleRequest{HaveSequence: from.Sequence, HaveDigest: from.Digest[:]})
+	var result *schema.Difference
+	if response.GetPatch() != nil && proto.Size(response) <= maxInlineBytes {
+		result = &schema.Difference{BaseDigest: from.Digest[:], Response: response}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inlineBase, r.inlineFor, r.inlined = from, current, result
+	return result
+}
--- a/internal/dissemination/runner.go
+++ b/internal/dissemination/runner.go
@@ -87,11 +87,15 @@
 	whole atomic.Bool
 
 	// The fields below belong to the event loop.
-	actions    Actions
-	lastTurn   time.Duration
-	view       *bundle.View
-	listedVMs  *vmDocument
-	stopWatch  context.CancelFunc
+	actions   Actions
+	lastTurn  time.Duration
+	view      *bundle.View
+	listedVMs *vmDocument
+	stopWatch context.CancelFunc
+	// context ends with the event loop; tasks that an event starts use it.
+	context context.Context
+	// taking is set while a difference of an announcement is verified.
+	taking     bool
 	refusedVMs uint64
 }
 
@@ -105,7 +109,7 @@
 }
 
 type runnerMetrics struct {
-	sent, received, dropped, pulls, pullFailures, refused, vmRefused, limited tally.Counter
+	sent, received, dropped, pulls, pullFailures, inlined, refused, vmRefused, limited tally.Counter
 }
 
 // NewRunner returns a runner. The error is ErrNoPeers or one of
@@ -138,6 +142,7 @@
 			dropped:      scope.Counter("events_dropped"),
 			pulls:        scope.Counter("pulls"),
 			pullFailures: scope.Counter("pull_failures"),
+			inlined:      scope.Counter("differences_applied"),
 			refused:      scope.Counter("bundles_refused"),
 			vmRefused:    scope.Counter("vm_lists_refused"),
 			limited:      scope.Counter("responses_limited"),
@@ -175,7 +180,9 @@
 	}
 	r.metrics.received.Inc(1)
 	r.enqueue(func(now time.Duration, out *Actions) {
-		r.core.Announcement(from, announcement, now, out)
+		if !r.takeDifference(from, announcement) {
+			r.core.Announcement(from, announcement, now, out)
+		}
 	})
 }
 
@@ -219,6 +226,7 @@
 	defer cancel()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	r.context = ctx
 	r.lastTurn = r.config.Clock()
 	r.turn(ctx, nil)
 	for {
@@ -288,6 +296,9 @@
 func (r *Runner) carryOut(ctx context.Context) {
 	for _, a := range r.actions.Announcements {
 		a.Message.StreamAddress = r.config.StreamAddress
+		if a.Base != (Version{}) {
+			a.Message.Difference = r.replies.inline(a.Base)
+		}
 		r.metrics.sent.Inc(1)
 		r.config.Send(a.To, &schema.Control{Body: &schema.Control_Announcement{Announcement: a.Message}})
 	}
--- a/internal/dissemination/tasks.go
+++ b/internal/dissemination/tasks.go
@@ -1,6 +1,7 @@
 package dissemination
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/netip"
@@ -60,6 +61,30 @@
 	})
 }
 
+// takeDifference verifies a difference that rides on an announcement, outside
+// the event loop, and handles the announcement after that. It reports whether
+// it does so; otherwise the announcement leads to a pull.
+func (r *Runner) takeDifference(from netip.AddrPort, m *schema.Announcement) bool {
+	difference, held := m.GetDifference(), r.config.Store.Signed()
+	if r.taking || held == nil || m.GetSequence() <= held.Sequence || !bytes.Equal(difference.GetBaseDigest(), held.Digest[:]) {
+		return false
+	}
+	r.taking = true
+	r.tasks.Go(func() {
+		if err := accept(r.config.Store, difference.GetResponse(), held, from.String()); err != nil {
+			r.metrics.refused.Inc(1)
+		} else {
+			r.metrics.inlined.Inc(1)
+		}
+		r.post(r.context, func(now time.Duration, out *Actions) {
+			r.taking = false
+			r.follow(now)
+			r.core.Announcement(from, m, now, out)
+		})
+	})
+	return true
+}
+
 // readPlatform reads each key once in the start phase.
 func (r *Runner) readPlatform(ctx context.Context) {
 	if r.config.Core.Entry && r.config.VMListKey != "" {
--- a/internal/dissemination/transfer_test.go
+++ b/internal/dissemination/transfer_test.go
@@ -193,6 +193,15 @@
 			c.Assert(store.Signed().Bytes(), qt.DeepEquals, p.second.Bytes())
 			cold, _ := p.pull(t, nil, 1)
 			c.Assert(cold.Signed().Bytes(), qt.DeepEquals, p.second.Bytes())
+			// A difference on an announcement leads to the same bytes; a large
+			// one does not ride on it.
+			d := p.responder.inline(p.first.Version())
+			c.Assert(d == nil, qt.Equals, test.name == "every service changed")
+			if d != nil {
+				store := newTestStore(t, p.first)
+				c.Assert(accept(store, d.GetResponse(), p.first, "peer"), qt.IsNil)
+				c.Assert(store.Signed().Bytes(), qt.DeepEquals, p.second.Bytes())
+			}
 		})
 	}
 }
