Answer late packets of an expired claim with a reset

The state machine test saw request bytes handed to a host without a connection: the agent had cleared the half-open claim after 10 s, and the record of the ended flow still delivered data in its range, while the host's reset was dropped. Change: such a packet gets a reset to the caller and is not delivered. That is positive knowledge, because the agent ended the connection itself, and truthful, because no byte was delivered. Checked: TestFailures and TestMachine (100 sequences) pass.

--- a/internal/flow/agent.go
+++ b/internal/flow/agent.go
@@ -273,6 +273,8 @@
 	case foreign:
 		a.withdraw(e, out)
 		a.unowned(e, out)
+	case answerReset:
+		a.resetCaller(e.packet, "the opening expired or the drain deadline passed", out)
 	case discardNoACK:
 		a.Counters.add(DropNoACK)
 	case discardLate:
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -61,6 +61,9 @@
 	// stale marks a flow whose caller seems to use the addresses and ports for
 	// a connection to another target. It is not registered.
 	stale bool
+	// cleared marks a claim that this agent ended at the host itself, so that
+	// a late packet of it is answered with a reset.
+	cleared bool
 	// superseded marks a claim that another target has won.
 	superseded bool
 	// hostData is true once the host sent payload.
@@ -92,6 +95,8 @@
 	foreign
 	discardNoACK
 	discardLate
+	// answerReset: the agent ended the connection at the host.
+	answerReset
 )
 
 func after(a, b uint32) bool { return int32(a-b) > 0 }
@@ -182,6 +187,8 @@
 		return discardLate
 	case !r.inRange(p.Ack):
 		return foreign
+	case r.cleared:
+		return answerReset
 	case r.rstSeen || p.Flags&packet.FlagRST != 0:
 		return discardLate
 	}
--- a/internal/flow/tick.go
+++ b/internal/flow/tick.go
@@ -116,6 +116,7 @@
 	case r.expired(now):
 		if r.state == halfOpen {
 			a.clearHost(r, out)
+			r.cleared, r.rstSeen = true, true
 		}
 		a.end(s, r, r.state, now)
 	case r.checkDue(now):
@@ -162,7 +163,7 @@
 			a.cutCaller(r, out)
 		}
 	}
-	r.rstSeen = true
+	r.cleared, r.rstSeen = true, true
 	a.end(s, r, r.state, now)
 }
 
