--- a/cmd/heathergw/main.go
+++ b/cmd/heathergw/main.go
@@ -50,6 +50,8 @@
 		Commands: []*cli.Command{
 			entryCommand(),
 			agentCommand(),
+			bundleCommand(),
+			demoCommand(),
 			statusCommand(),
 			versionCommand(),
 		},
