Send heartbeats when the chooser finds them due

Cause: the flow table sent its load every 250 ms only, while the chooser's figures rest on reports of changed load within the control budget. Ruled out: a shorter fixed interval, which spends the same bytes on peers whose load did not change. Change: flow.Agent asks Chooser.Reports on every tick; the agent ticks every 25 ms, a tenth of the heartbeat interval.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	tickInterval = 50 * time.Millisecond
+	tickInterval = 25 * time.Millisecond
 	// discardTime bounds how long queued datagrams are dropped after a pause.
 	discardTime = 20 * time.Millisecond
 )
--- a/internal/flow/peers.go
+++ b/internal/flow/peers.go
@@ -190,14 +190,32 @@
 	return ids
 }
 
-// heartbeats sends the load to the other targets of the service.
+// heartbeats sends a heartbeat to every other target of the service.
 func (a *Agent) heartbeats(now int64, out *Actions) {
+	a.mu.Lock()
+	targets := a.targetsLocked(a.view.Load())
+	a.lastHeartbeat = now
+	a.mu.Unlock()
+	a.heartbeatTo(targets, now, out)
+}
+
+// reports sends the heartbeats that the chooser finds due: periodic ones, and
+// within the control budget those that tell a peer of a changed load, since
+// placement by a load that is 250 ms old costs balance.
+func (a *Agent) reports(now int64, out *Actions) {
+	var buf [placement.MaxTargets]*bundle.Target
+	a.heartbeatTo(a.cfg.Chooser.Reports(now, buf[:0]), now, out)
+}
+
+func (a *Agent) heartbeatTo(targets []*bundle.Target, now int64, out *Actions) {
+	if len(targets) == 0 {
+		return
+	}
 	load := a.loadMessage(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lastHeartbeat = now
 	silent := a.silentTargetsLocked(now)
-	for _, t := range a.targetsLocked(a.view.Load()) {
+	for _, t := range targets {
 		if t.ID == a.cfg.TargetID {
 			continue
 		}
--- a/internal/flow/tick.go
+++ b/internal/flow/tick.go
@@ -17,7 +17,7 @@
 )
 
 // Tick handles timeouts and sends what is due. The process calls it at least
-// every 50 ms; a gap longer than the failure timeout is a late wake-up.
+// every 25 ms; a gap longer than the failure timeout is a late wake-up.
 func (a *Agent) Tick(now int64, out *Actions) {
 	if now-a.lastTick.Swap(now) > a.failureTimeout.Load() {
 		a.wakeLate(now, out)
@@ -30,7 +30,10 @@
 	if sweepDue {
 		a.lastSweep = now
 	}
-	heartbeatDue := view != nil && (a.lastHeartbeat == 0 || now-a.lastHeartbeat >= int64(view.HeartbeatInterval))
+	// The chooser reports to the targets of the bundle; a target that left it
+	// still tells its former peers that it lives.
+	left := view != nil && view.Target(a.cfg.TargetID) == nil
+	heartbeatDue := left && (a.lastHeartbeat == 0 || now-a.lastHeartbeat >= int64(view.HeartbeatInterval))
 	a.mu.Unlock()
 	if sweepDue {
 		a.watchPeers(now, out)
@@ -39,6 +42,7 @@
 	if heartbeatDue {
 		a.heartbeats(now, out)
 	}
+	a.reports(now, out)
 	a.pull(view, now, out)
 	a.retryWaiting(now, out)
 	a.flushRegistrations(out)
