Let entries reach the owner of a flow whose target left the bundle

Cause: an entry forgot a cached owner as soon as a bundle removed its target, and sent each packet through a candidate's registration instead. Ruled out: keeping the former view in the entry; the view carries its retired targets already. Change: cached owners are looked up among retired targets too. Figures: with the old look-up TestDecideKeepsRetiredOwner fails (another target than 10 is chosen), with the new one it passes. Conclusion: flows of a removed target keep their direct path until the drain deadline.

--- a/internal/entry/decide.go
+++ b/internal/entry/decide.go
@@ -77,8 +77,9 @@
 	return result, outcomeForward
 }
 
-// cachedOwner returns the cached owner if it is still a reachable target of
-// the service that the packet is meant for.
+// cachedOwner returns the cached owner if it is a reachable target of the
+// service that the packet is meant for. A target that left the bundle still
+// serves its flows until its drain deadline.
 func (d *decider) cachedOwner(v *bundle.View, address *bundle.Address, p *packet.Packet, now int64) *bundle.Target {
 	if p.IsOpening() {
 		return nil
@@ -87,7 +88,7 @@
 	if id == 0 || d.reach.silent(id, now) {
 		return nil
 	}
-	target := v.Target(id)
+	target := v.AnyTarget(id)
 	if target == nil || target.Service != address.Service {
 		return nil
 	}
--- a/internal/entry/decide_test.go
+++ b/internal/entry/decide_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"crypto/ed25519"
 	"encoding/binary"
 	"fmt"
 	"net/netip"
@@ -17,7 +18,7 @@
 
 const start = int64(time.Hour)
 
-func testView(t testing.TB, targets int) *bundle.View {
+func testBundle(targets int) *schema.Bundle {
 	service := &schema.Service{
 		Id: 1, Name: "booking",
 		Addresses: []*schema.ServiceAddress{{Ip: "198.51.100.1", Port: 443, Protocol: schema.Protocol_PROTOCOL_TCP}},
@@ -28,7 +29,11 @@
 			AgentAddress: fmt.Sprintf("127.0.0.1:%d", 20000+i),
 		})
 	}
-	v, err := bundle.NewView(&schema.Bundle{Sequence: 1, Services: []*schema.Service{service}}, bundle.Digest{})
+	return &schema.Bundle{Sequence: 1, Services: []*schema.Service{service}}
+}
+
+func testView(t testing.TB, targets int) *bundle.View {
+	v, err := bundle.NewView(testBundle(targets), bundle.Digest{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -91,6 +96,34 @@
 	c.Check(result, qt.Equals, outcomeNoBundle)
 }
 
+// Guards against a flow that loses its owner when a new bundle removes the
+// drained target before the flow has ended.
+func TestDecideKeepsRetiredOwner(t *testing.T) {
+	c := qt.New(t)
+	public, private, err := ed25519.GenerateKey(nil)
+	c.Assert(err, qt.IsNil)
+	now := time.Unix(1_800_000_000, 0)
+	store := bundle.NewStore(bundle.StoreOptions{
+		Roots: []ed25519.PublicKey{public}, Now: func() time.Time { return now },
+	})
+	var former *bundle.Signed
+	for sequence, targets := range []int{10, 9} {
+		document := testBundle(targets)
+		document.Sequence = uint64(sequence + 1)
+		former, err = bundle.Sign(document, former, private, now)
+		c.Assert(err, qt.IsNil)
+		_, err = store.Offer(former, "test")
+		c.Assert(err, qt.IsNil)
+	}
+	d := newTestDecider(t, 1024)
+	d.view.Store(store.View())
+	p := flowPacket(1, packet.FlagACK)
+	d.learnOwner(&p.Key, 10, start)
+	choice, result := d.decide(&p, start)
+	c.Assert(result, qt.Equals, outcomeForward)
+	c.Check(choice.target.ID, qt.Equals, uint32(10))
+}
+
 // Guards against an agent that stopped answering and still gets every packet,
 // and against probes that exceed their limit.
 func TestUnansweredProbesMarkTargetSilent(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,7 +71,7 @@
 // SetView puts a bundle in force.
 func (e *Entry) SetView(v *bundle.View) {
 	e.decider.view.Store(v)
-	e.decider.reach.prune(func(id uint32) bool { return v.Target(id) != nil })
+	e.decider.reach.prune(func(id uint32) bool { return v.AnyTarget(id) != nil })
 }
 
 // Run forwards packets until ctx ends and the planned stop that follows is
