Test openings claimed by several targets in a partition

No case of the failure table turned the two-host check red with the ISN rule off: one host took the request and the other never saw it.

--- a/internal/flow/failure_test.go
+++ b/internal/flow/failure_test.go
@@ -123,6 +123,19 @@
 			n.openMany(1, 12)
 			n.run(3 * time.Second)
 		}},
+		{"openings claimed by several targets that do not hear each other", func(n *network) {
+			n.stray = 1
+			for i, id := range machineIDs {
+				n.nodes[id].side = i
+			}
+			n.run(2 * time.Second)
+			for port := uint16(1); port <= 8; port++ {
+				n.open(port)
+				n.transmit(n.sorted()[port-1])
+				n.transmit(n.sorted()[port-1])
+			}
+			n.run(3 * time.Second)
+		}},
 		{"partition of established flows", func(n *network) {
 			n.openMany(1, 12)
 			n.run(time.Second)
