Give every start-up failure its documented exit code

Cause: an unknown command ended with 3 and settings of the other role failed on an address, although both are usage errors (2). Ruled out: checking the role in internal/settings, which accepts both. Conclusion: scripts can rely on the documented codes.

--- a/cmd/heathergw/main.go
+++ b/cmd/heathergw/main.go
@@ -55,10 +55,19 @@
 			statusCommand(),
 			versionCommand(),
 		},
+		Action:         showHelp,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 }
 
+// showHelp runs when no command matches; the library would exit with 3.
+func showHelp(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return cli.Exit(fmt.Sprintf("heathergw: unknown command %q; see heathergw --help", c.Args().First()), exitUsage)
+	}
+	return cli.ShowRootCommandHelp(c)
+}
+
 func versionCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "version",
--- a/cmd/heathergw/roles.go
+++ b/cmd/heathergw/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -22,17 +23,25 @@
 	Run(ctx context.Context) error
 }
 
+// errRole is a usage error: the settings belong to the other role.
+var errRole = errors.New("settings have no section for this role")
+
+// startFunc opens the sockets of a role.
+type startFunc func(*schema.Settings, *zap.Logger) (process, error)
+
 func entryCommand() *cli.Command {
 	return roleCommand("entry", "run an entry: forward packets of the fabric to agents",
+		func(s *schema.Settings) bool { return s.GetEntry() != nil },
 		func(s *schema.Settings, log *zap.Logger) (process, error) { return entry.New(s, log) })
 }
 
 func agentCommand() *cli.Command {
 	return roleCommand("agent", "run an agent beside a target",
+		func(s *schema.Settings) bool { return s.GetAgent() != nil },
 		func(s *schema.Settings, log *zap.Logger) (process, error) { return agent.New(s, log) })
 }
 
-func roleCommand(name, usage string, start func(*schema.Settings, *zap.Logger) (process, error)) *cli.Command {
+func roleCommand(name, usage string, hasRole func(*schema.Settings) bool, start startFunc) *cli.Command {
 	return &cli.Command{
 		Name:  name,
 		Usage: usage,
@@ -42,16 +51,19 @@
 			&cli.StringFlag{Name: "config", Usage: "settings `FILE` in JSON with comments", Required: true},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return runRole(ctx, c.String("config"), start)
+			return runRole(ctx, c.String("config"), hasRole, start)
 		},
 	}
 }
 
-func runRole(ctx context.Context, path string, start func(*schema.Settings, *zap.Logger) (process, error)) error {
+func runRole(ctx context.Context, path string, hasRole func(*schema.Settings) bool, start startFunc) error {
 	s, err := settings.Load(path)
 	if err != nil {
 		return cli.Exit(err, exitUsage)
 	}
+	if !hasRole(s) {
+		return cli.Exit(fmt.Errorf("%s: %w", path, errRole), exitUsage)
+	}
 	log, err := zap.NewProduction()
 	if err != nil {
 		return cli.Exit(fmt.Errorf("open log: %w", err), exitStart)
