Name the outage of a failure case by its length

Change: the name of the case; the checks stay. Figures: go test -run Failures ./internal/dissemination passes.

--- a/internal/dissemination/failure_test.go
+++ b/internal/dissemination/failure_test.go
@@ -57,7 +57,7 @@
 			f.runFor(2 * time.Minute)
 			c.Assert(f.everyoneHolds(versionNumber(5)), qt.IsTrue)
 		}},
-		{name: "platform down for two days and back", loss: 0.05, bound: 30 * time.Second, noPublish: true, fault: func(c *qt.C, f *fleet) {
+		{name: "platform down for five minutes and back", loss: 0.05, bound: 30 * time.Second, noPublish: true, fault: func(c *qt.C, f *fleet) {
 			f.setPlatformDown(true)
 			f.runFor(5 * time.Minute)
 			c.Assert(f.everyoneHolds(versionNumber(1)), qt.IsTrue)
