--- a/internal/bundle/order_test.go
+++ b/internal/bundle/order_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	_ "github.com/heathergw/heathergw/internal/testseed" // repeatable property tests
 	"pgregory.net/rapid"
 )
 
--- a/internal/flow/machine_test.go
+++ b/internal/flow/machine_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/heathergw/heathergw/internal/testseed" // repeatable property tests
 	"github.com/heathergw/heathergw/schema"
 )
 
--- a/internal/placement/candidates_test.go
+++ b/internal/placement/candidates_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/heathergw/heathergw/internal/bundle"
 	"github.com/heathergw/heathergw/internal/packet"
+	_ "github.com/heathergw/heathergw/internal/testseed" // repeatable property tests
 	"github.com/heathergw/heathergw/schema"
 )
 
--- a/internal/placement/chooser_test.go
+++ b/internal/placement/chooser_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/heathergw/heathergw/internal/bundle"
+	_ "github.com/heathergw/heathergw/internal/testseed" // repeatable property tests
 	"github.com/heathergw/heathergw/internal/wire"
 	"github.com/heathergw/heathergw/schema"
 )
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	_ "github.com/heathergw/heathergw/internal/testseed" // repeatable property tests
 	"github.com/heathergw/heathergw/internal/wire"
 	"github.com/heathergw/heathergw/schema"
 )
