Place a repeated opening elsewhere when the host does not answer

Ruled out: waiting for the drain, since claims made before it remain; ending claims when draining begins, since that still costs 3 s. Change: a SYN that repeats after 150 ms without a SYN-ACK ends the claim and is redirected to the first other candidate; the ended record drops a late SYN-ACK, so the ISN rule is untouched. Without another target it is delivered again. Conclusion: a dead host costs an opening one retransmission.

--- a/internal/flow/agent.go
+++ b/internal/flow/agent.go
@@ -275,6 +275,8 @@
 		a.unowned(e, out)
 	case answerReset:
 		a.resetCaller(e.packet, "the opening expired or the drain deadline passed", out)
+	case unanswered:
+		a.placeAgain(e, out)
 	case discardNoACK:
 		a.Counters.add(DropNoACK)
 	case discardLate:
--- a/internal/flow/counters.go
+++ b/internal/flow/counters.go
@@ -15,6 +15,7 @@
 	Taken
 	Adopted
 	Superseded
+	Unanswered
 	Refused
 	ResetSent
 	QueriesSent
@@ -42,7 +43,7 @@
 )
 
 var counterNames = [counterCount]string{
-	"delivered", "returned", "forwarded", "redirected", "taken", "adopted", "superseded", "refused",
+	"delivered", "returned", "forwarded", "redirected", "taken", "adopted", "superseded", "unanswered", "refused",
 	"reset_sent", "queries_sent", "hints_sent", "drop_hop_limit", "drop_no_view", "drop_other_service",
 	"drop_refreshing", "drop_no_ack", "drop_late", "drop_return", "drop_query_limit", "drop_held_limit",
 	"drop_held_timeout", "drop_no_owner", "drop_half_open_limit", "drop_source_limit", "drop_queue_limit",
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -91,6 +91,8 @@
 	unknown verdict = iota
 	deliver
 	deliverOpening
+	// unanswered: the host did not answer the first copy of the opening.
+	unanswered
 	// foreign: the packet belongs to no connection that this host has.
 	foreign
 	discardNoACK
@@ -116,6 +118,8 @@
 	case p.Key.Protocol == packet.ProtocolUDP:
 		r.last, r.requested = now, true
 		return deliver
+	case p.IsOpening() && r.hostSilent(now):
+		return unanswered
 	case p.IsOpening():
 		return deliverOpening
 	case p.Flags&packet.FlagSYN != 0:
