Share the run loop of both roles and publish the flow table's counts

Ruled out: one Run for both roles; their planned stops differ. Change: node.AddCommonActors, PauseWatch.Stale, agent_flow counters, defaults applied in node.New. Conclusion: one place for what both roles do.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -24,11 +23,8 @@
 	"github.com/heathergw/heathergw/schema"
 )
 
-const (
-	tickInterval = 25 * time.Millisecond
-	// discardTime bounds how long queued datagrams are dropped after a pause.
-	discardTime = 20 * time.Millisecond
-)
+// tickInterval is a tenth of the default heartbeat interval.
+const tickInterval = 25 * time.Millisecond
 
 // Agent is an agent process.
 type Agent struct {
@@ -36,11 +32,9 @@
 	host     *wire.Socket
 	table    *flow.Agent
 	counters *counters
-	pause    *node.PauseWatch
 
 	hostAddress   netip.AddrPort
 	fabricAddress netip.AddrPort
-	discardUntil  atomic.Int64
 	stopping      atomic.Bool
 	vms           vmWatch
 	notices       notices
@@ -84,7 +78,6 @@
 		hostAddress:   hostAddress,
 		fabricAddress: fabricAddress,
 	}
-	a.pause = node.NewPauseWatch(node.Clock(), a.resumed)
 	return a, nil
 }
 
@@ -103,23 +96,17 @@
 	stopped, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group run.Group
-	addActor(&group, stopped, stop, func(c context.Context) error { return a.awaitStop(ctx, c) })
-	addActor(&group, stopped, stop, func(c context.Context) error { return a.pause.Run(c, a.failureTimeout) })
-	addActor(&group, stopped, stop, a.tickLoop)
-	addActor(&group, stopped, stop, a.node.Runner.Run)
-	addActor(&group, stopped, stop, func(c context.Context) error { return a.node.FollowViews(c, a.SetView) })
-	addActor(&group, stopped, stop, a.healthLoop)
-	addActor(&group, stopped, stop, func(c context.Context) error { return a.node.ServeStatus(c, node.StatusHandler(a.Status)) })
+	node.AddActor(&group, stopped, stop, func(c context.Context) error { return a.awaitStop(ctx, c) })
+	a.node.AddCommonActors(&group, stopped, stop, a.SetView, node.StatusHandler(a.Status))
+	node.AddActor(&group, stopped, stop, a.tickLoop)
+	node.AddActor(&group, stopped, stop, a.healthLoop)
+	node.AddActor(&group, stopped, stop, a.metricsLoop)
 	for range max(int(a.node.Settings.GetWorkers()), 1) {
 		group.Add(a.peerWorker, func(error) { _ = a.node.Peers.Close() })
 		group.Add(a.hostWorker, func(error) { _ = a.host.Close() })
 	}
 	err := group.Run()
-	return errors.Join(err, ignoreClosed(a.host.Close()), ignoreClosed(a.node.Close()))
-}
-
-func addActor(group *run.Group, ctx context.Context, stop func(), execute func(context.Context) error) {
-	group.Add(func() error { return execute(ctx) }, func(error) { stop() })
+	return errors.Join(err, node.IgnoreClosed(a.host.Close()), node.IgnoreClosed(a.node.Close()))
 }
 
 // Abort closes the sockets at once, as a crash would.
@@ -128,13 +115,6 @@
 	_ = a.node.Peers.Close()
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
 // awaitStop returns when a planned stop is complete.
 func (a *Agent) awaitStop(ctx, stopped context.Context) error {
 	select {
@@ -161,18 +141,6 @@
 	return nil
 }
 
-func (a *Agent) resumed(gap time.Duration) {
-	a.discardUntil.Store(node.Clock() + int64(discardTime))
-	a.node.Log.Warn("process resumed after a pause", zap.Duration("pause", gap))
-}
-
-func (a *Agent) failureTimeout() time.Duration {
-	if v := a.node.Store.View(); v != nil {
-		return v.FailureTimeout
-	}
-	return bundle.DefaultFailureTimeout
-}
-
 // tickLoop drives the timeouts of the flow table.
 func (a *Agent) tickLoop(ctx context.Context) error {
 	s := a.newSender()
@@ -196,8 +164,7 @@
 // stale reports whether datagrams read now queued while the process was
 // paused.
 func (a *Agent) stale(now int64, n int) bool {
-	a.pause.Check(now, a.failureTimeout())
-	if now >= a.discardUntil.Load() {
+	if !a.node.Pause.Stale(now, a.node.FailureTimeout()) {
 		return false
 	}
 	a.counters.droppedAfterPause.Inc(int64(n))
@@ -212,7 +179,7 @@
 	for {
 		n, err := a.node.Peers.ReadBatch(messages)
 		if err != nil {
-			return ignoreClosed(err)
+			return node.IgnoreClosed(err)
 		}
 		now := node.Clock()
 		if a.stale(now, n) {
@@ -275,7 +242,7 @@
 	for {
 		n, err := a.host.ReadBatch(messages)
 		if err != nil {
-			return ignoreClosed(err)
+			return node.IgnoreClosed(err)
 		}
 		now := node.Clock()
 		for i := range messages[:n] {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -7,9 +7,14 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/heathergw/heathergw/internal/bundle"
+	"github.com/heathergw/heathergw/internal/flow"
+	"github.com/heathergw/heathergw/internal/packet"
+	"github.com/heathergw/heathergw/internal/placement"
 	"github.com/heathergw/heathergw/internal/platform"
+	"github.com/heathergw/heathergw/internal/wire"
 	"github.com/heathergw/heathergw/schema"
 )
 
@@ -103,3 +108,20 @@
 		c.Check(times, qt.Equals, 1, qt.Commentf("%s", entry))
 	}
 }
+
+// Guards against counts of the flow table that never reach the metrics, or
+// that are added twice.
+func TestFlowMetricsPublishGrowth(t *testing.T) {
+	c := qt.New(t)
+	scope := tally.NewTestScope("", nil)
+	table := flow.New(flow.Config{TargetID: 1, Chooser: placement.NewChooser(placement.Config{})})
+	metrics := newFlowMetrics(scope)
+	header := wire.Forward{} // a hop limit of 0 is counted as a drop
+	for range 3 {
+		table.FromPeer(&packet.Packet{}, &header, address(1), 1, &flow.Actions{})
+		metrics.publish(&table.Counters)
+		metrics.publish(&table.Counters)
+	}
+	counters := scope.Snapshot().Counters()
+	c.Check(counters["agent_flow+event=drop_hop_limit"].Value(), qt.Equals, int64(3))
+}
--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,45 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/heathergw/heathergw/internal/flow"
+)
+
+// flowMetricsInterval is how often the flow table's counts reach the metrics.
+const flowMetricsInterval = time.Second
+
+// flowMetrics passes the growth of the flow table's counts to tally.
+type flowMetrics struct {
+	scope tally.Scope
+	last  map[string]uint64
+}
+
+func newFlowMetrics(scope tally.Scope) *flowMetrics {
+	return &flowMetrics{scope: scope, last: map[string]uint64{}}
+}
+
+func (m *flowMetrics) publish(counters *flow.Counters) {
+	counters.Each(func(name string, value uint64) {
+		m.scope.Tagged(map[string]string{"event": name}).Counter("agent_flow").Inc(int64(value - m.last[name]))
+		m.last[name] = value
+	})
+}
+
+// metricsLoop publishes the counts until ctx ends.
+func (a *Agent) metricsLoop(ctx context.Context) error {
+	metrics := newFlowMetrics(a.node.Metrics)
+	ticker := time.NewTicker(flowMetricsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			metrics.publish(&a.table.Counters)
+		}
+	}
+}
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -5,8 +5,7 @@
 // Status returns what the agent knows now.
 func (a *Agent) Status() node.Status {
 	view := a.node.Store.View()
-	s := a.node.NewStatus("agent", view, a.pause.Pauses())
-	s.Ready = a.node.Ready()
+	s := a.node.NewStatus("agent", view)
 	table := a.table.Status(node.Clock())
 	s.Stopping = a.stopping.Load()
 	s.Flows = &node.FlowStatus{
--- a/internal/demo/runner.go
+++ b/internal/demo/runner.go
@@ -11,7 +11,6 @@
 	"github.com/heathergw/heathergw/internal/agent"
 	"github.com/heathergw/heathergw/internal/entry"
 	"github.com/heathergw/heathergw/internal/node"
-	"github.com/heathergw/heathergw/internal/settings"
 	"github.com/heathergw/heathergw/schema"
 )
 
@@ -34,7 +33,6 @@
 }
 
 func (d *demo) launch(ctx context.Context, s *schema.Settings, log *zap.Logger) error {
-	settings.ApplyDefaults(s)
 	var p process
 	var err error
 	if s.GetAgent() != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -22,11 +21,7 @@
 	"github.com/heathergw/heathergw/schema"
 )
 
-const (
-	tickInterval = 200 * time.Millisecond
-	// discardTime bounds how long queued datagrams are dropped after a pause.
-	discardTime = 20 * time.Millisecond
-)
+const tickInterval = 200 * time.Millisecond
 
 // Entry is an entry process.
 type Entry struct {
@@ -34,13 +29,11 @@
 	fabric   *wire.Socket
 	decider  *decider
 	counters *counters
-	pause    *node.PauseWatch
 
 	// lastPacket is when the fabric last delivered a packet, for the planned
 	// stop.
-	lastPacket   atomic.Int64
-	discardUntil atomic.Int64
-	stopping     atomic.Bool
+	lastPacket atomic.Int64
+	stopping   atomic.Bool
 }
 
 // New opens the sockets of an entry. Errors name the setting or the address
@@ -64,7 +57,6 @@
 		decider:  newDecider(int(settings.GetEntry().GetCacheFlows()), key),
 		counters: newCounters(n.Metrics),
 	}
-	e.pause = node.NewPauseWatch(node.Clock(), e.resumed)
 	return e, nil
 }
 
@@ -82,21 +74,14 @@
 	defer stop()
 	var group run.Group
 	group.Add(func() error { return e.awaitStop(ctx, stopped) }, func(error) { stop() })
-	addActor(&group, stopped, stop, func(c context.Context) error { return e.pause.Run(c, e.failureTimeout) })
-	addActor(&group, stopped, stop, e.tickLoop)
-	addActor(&group, stopped, stop, e.node.Runner.Run)
-	addActor(&group, stopped, stop, func(c context.Context) error { return e.node.FollowViews(c, e.SetView) })
-	addActor(&group, stopped, stop, func(c context.Context) error { return e.node.ServeStatus(c, node.StatusHandler(e.Status)) })
+	e.node.AddCommonActors(&group, stopped, stop, e.SetView, node.StatusHandler(e.Status))
+	node.AddActor(&group, stopped, stop, e.tickLoop)
 	for range max(int(e.node.Settings.GetWorkers()), 1) {
 		group.Add(e.fabricWorker, func(error) { _ = e.fabric.Close() })
 	}
 	group.Add(e.peerWorker, func(error) { _ = e.node.Peers.Close() })
 	err := group.Run()
-	return errors.Join(err, ignoreClosed(e.fabric.Close()), ignoreClosed(e.node.Close()))
-}
-
-func addActor(group *run.Group, ctx context.Context, stop func(), execute func(context.Context) error) {
-	group.Add(func() error { return execute(ctx) }, func(error) { stop() })
+	return errors.Join(err, node.IgnoreClosed(e.fabric.Close()), node.IgnoreClosed(e.node.Close()))
 }
 
 // Abort closes the sockets at once, as a crash would.
@@ -105,13 +90,6 @@
 	_ = e.node.Peers.Close()
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
 // awaitStop returns when a planned stop is complete.
 func (e *Entry) awaitStop(ctx, stopped context.Context) error {
 	select {
@@ -138,19 +116,6 @@
 	return nil
 }
 
-// resumed drops what queued while the process was paused.
-func (e *Entry) resumed(gap time.Duration) {
-	e.discardUntil.Store(node.Clock() + int64(discardTime))
-	e.node.Log.Warn("process resumed after a pause", zap.Duration("pause", gap))
-}
-
-func (e *Entry) failureTimeout() time.Duration {
-	if v := e.decider.view.Load(); v != nil {
-		return v.FailureTimeout
-	}
-	return bundle.DefaultFailureTimeout
-}
-
 // fabricWorker reads batches from the fabric and forwards them. Each worker
 // owns its parser and its buffers.
 func (e *Entry) fabricWorker() error {
@@ -163,11 +128,10 @@
 	for {
 		n, err := e.fabric.ReadBatch(messages)
 		if err != nil {
-			return ignoreClosed(err)
+			return node.IgnoreClosed(err)
 		}
 		now := node.Clock()
-		e.pause.Check(now, e.failureTimeout())
-		if now < e.discardUntil.Load() {
+		if e.node.Pause.Stale(now, e.node.FailureTimeout()) {
 			e.counters.droppedAfterPause.Inc(int64(n))
 			continue
 		}
@@ -185,7 +149,7 @@
 	for {
 		n, err := e.node.Peers.ReadBatch(messages)
 		if err != nil {
-			return ignoreClosed(err)
+			return node.IgnoreClosed(err)
 		}
 		now := node.Clock()
 		for i := range messages[:n] {
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -5,8 +5,7 @@
 // Status returns what the entry knows now.
 func (e *Entry) Status() node.Status {
 	v := e.decider.view.Load()
-	s := e.node.NewStatus("entry", v, e.pause.Pauses())
-	s.Ready = e.node.Ready()
+	s := e.node.NewStatus("entry", v)
 	s.Stopping = e.stopping.Load()
 	if v == nil {
 		return s
--- a/internal/node/bundles.go
+++ b/internal/node/bundles.go
@@ -110,5 +110,10 @@
 	}
 }
 
-// Ready reports whether the process has looked for the newest bundle.
-func (n *Node) Ready() bool { return n.Runner.Status().Ready }
+// FailureTimeout returns the failure timeout of the bundle in force.
+func (n *Node) FailureTimeout() time.Duration {
+	if v := n.Store.View(); v != nil {
+		return v.FailureTimeout
+	}
+	return bundle.DefaultFailureTimeout
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/heathergw/heathergw/internal/audit"
 	"github.com/heathergw/heathergw/internal/bundle"
 	"github.com/heathergw/heathergw/internal/dissemination"
+	"github.com/heathergw/heathergw/internal/settings"
 	"github.com/heathergw/heathergw/internal/wire"
 	"github.com/heathergw/heathergw/schema"
 )
@@ -48,6 +49,8 @@
 	StartID uint64
 	// Store holds the bundle in force.
 	Store *bundle.Store
+	// Pause notices when the process did not run for a while.
+	Pause *PauseWatch
 	// Runner spreads bundles among the processes.
 	Runner *dissemination.Runner
 
@@ -67,8 +70,9 @@
 
 // New opens the sockets and prepares the common parts. Errors name the setting
 // or the address that cannot be used. Close releases everything.
-func New(settings *schema.Settings, log *zap.Logger) (*Node, error) {
-	keys, err := decodeKeys("fleet_keys", settings.GetFleetKeys())
+func New(s *schema.Settings, log *zap.Logger) (*Node, error) {
+	settings.ApplyDefaults(s)
+	keys, err := decodeKeys("fleet_keys", s.GetFleetKeys())
 	if err != nil {
 		return nil, err
 	}
@@ -80,9 +84,9 @@
 	if err != nil {
 		return nil, err
 	}
-	log = log.With(zap.String("name", settings.GetName()))
+	log = log.With(zap.String("name", s.GetName()))
 	n := &Node{
-		Settings:    settings,
+		Settings:    s,
 		Log:         log,
 		Audit:       audit.NewTrail(log, time.Now),
 		Keys:        ring,
@@ -90,9 +94,12 @@
 		replay:      newReplayFilter(),
 		viewChanged: make(chan struct{}, 1),
 	}
+	n.Pause = NewPauseWatch(Clock(), func(gap time.Duration) {
+		log.Warn("process resumed after a pause", zap.Duration("pause", gap))
+	})
 	n.openMetrics()
 	if err := n.openSockets(keys); err != nil {
-		return nil, errors.Join(err, ignoreClosed(n.Close()))
+		return nil, errors.Join(err, IgnoreClosed(n.Close()))
 	}
 	return n, nil
 }
@@ -141,13 +148,6 @@
 	return errors.Join(err, n.closeMetrics.Close())
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
 func listenStatus(address string) (net.Listener, error) {
 	if address == "" {
 		return nil, nil
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -10,11 +10,17 @@
 // failure timeout.
 const pauseCheckInterval = 50 * time.Millisecond
 
+// discardTime bounds how long queued datagrams are dropped after a pause.
+const discardTime = 20 * time.Millisecond
+
 // PauseWatch detects that the process did not run for longer than a timeout,
 // for example because its VM was suspended. It is safe for concurrent use.
 type PauseWatch struct {
 	lastRun atomic.Int64
 	pauses  atomic.Uint64
+	// discardUntil ends the time in which datagrams that queued during the
+	// pause are read.
+	discardUntil atomic.Int64
 	// onPause runs after a pause, on the goroutine that found it.
 	onPause func(gap time.Duration)
 }
@@ -56,9 +62,16 @@
 		return false
 	}
 	w.pauses.Add(1)
+	w.discardUntil.Store(now + int64(discardTime))
 	w.onPause(gap)
 	return true
 }
 
+// Stale reports whether datagrams that are read now queued during a pause.
+func (w *PauseWatch) Stale(now int64, timeout time.Duration) bool {
+	w.Check(now, timeout)
+	return now < w.discardUntil.Load()
+}
+
 // Pauses returns the number of pauses found.
 func (w *PauseWatch) Pauses() uint64 { return w.pauses.Load() }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -54,12 +54,13 @@
 }
 
 // NewStatus fills the fields that are common to both roles.
-func (n *Node) NewStatus(role string, v *bundle.View, pauses uint64) Status {
+func (n *Node) NewStatus(role string, v *bundle.View) Status {
 	s := Status{
 		Name:       n.Settings.GetName(),
 		Role:       role,
 		DataCentre: n.Settings.GetDataCentre(),
-		Pauses:     pauses,
+		Ready:      n.Runner.Status().Ready,
+		Pauses:     n.Pause.Pauses(),
 		Targets:    []TargetStatus{},
 		Counters:   n.Counters(),
 		Audit:      n.Audit.Records(),
