Add the missing import of the split flow views

Ruled out: nothing. Change: imports of views.go; a comment is wrapped. Figures: go vet ./internal/flow fails before, passes after.

--- a/internal/flow/hold.go
+++ b/internal/flow/hold.go
@@ -97,8 +97,9 @@
 }
 
 // startQuery sends the owner query to every other target of the service, and to
-// those that served its addresses before; without a view it asks none. The own host is asked too when it may have a connection without a record. Agent.mu
-// is held.
+// those that served its addresses before; without a view it asks none. The own
+// host is asked too when it may have a connection without a record. Agent.mu is
+// held.
 func (a *Agent) startQuery(e *event, view *bundle.View, out *Actions) *query {
 	p := e.packet
 	q := &query{key: p.Key, started: e.now}
--- a/internal/flow/views.go
+++ b/internal/flow/views.go
@@ -2,9 +2,9 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"github.com/heathergw/heathergw/internal/bundle"
+	"github.com/heathergw/heathergw/internal/packet"
 )
 
 // SetView puts a newer view in force; an older one or the same is ignored, as
