Stop counting a request that only waits as a busy slot

Ruled out: counting flows instead of requests, which says nothing of slots; only believing the load endpoint, which lags or misleads. Change: after 5 s without a packet in either direction the slot is released; the caller's next payload takes it again. Conclusion: idle screens no longer use slots.

--- a/internal/flow/lifecycle.go
+++ b/internal/flow/lifecycle.go
@@ -1,5 +1,13 @@
 package flow
 
+import "time"
+
+// requestIdle is how long a request may go without a packet in either direction
+// and still count as using a slot. A tracking screen that waits for the next
+// event looks like an open request; 2,000 of them at one target would make it
+// look full. A host that computes for longer reports its load itself.
+const requestIdle = 5 * time.Second
+
 // settle brings counts, the chooser and registrations in line with a record
 // after an event. The shard is locked.
 func (a *Agent) settle(s *shard, r *record, before state, now int64) {
@@ -37,6 +45,16 @@
 	}
 }
 
+// releaseIdleRequest stops counting a request that only waits. It counts again
+// with the caller's next payload. The shard is locked.
+func (a *Agent) releaseIdleRequest(r *record, now int64) {
+	if r.state != open || !r.requestCounted || now-r.last < int64(requestIdle) {
+		return
+	}
+	r.requested = false
+	a.countRequest(r, now)
+}
+
 func (a *Agent) count(s state, n int64) {
 	switch s {
 	case halfOpen:
--- a/internal/flow/tick.go
+++ b/internal/flow/tick.go
@@ -113,6 +113,7 @@
 }
 
 func (a *Agent) sweepRecord(s *shard, r *record, cut bool, epoch uint64, now int64, out *Actions) {
+	a.releaseIdleRequest(r, now)
 	switch {
 	case r.state == ended:
 	case cut:
