--- a/internal/flow/matrix_test.go
+++ b/internal/flow/matrix_test.go
@@ -31,6 +31,7 @@
 	pending   func()
 	seen      map[uint32]*bundle.View
 	uploading bool
+	twice     bool // each opening is sent twice
 }
 
 func (x *cell) apply(b *schema.Bundle) {
@@ -143,7 +144,7 @@
 }
 
 func (x *cell) partition() {
-	x.nodes[1].side, x.nodes[victim].side, x.stray = 1, 1, 0.5
+	x.nodes[1].side, x.nodes[victim].side, x.stray = 1, 1, 1
 }
 
 type matrixFault struct {
@@ -178,7 +179,7 @@
 		{"partition, both sides serve", (*cell).partition, heal},
 		{"one-way cut", func(x *cell) { x.deaf(v(x), until(x)) }, nil},
 		{"lossy control links 30%", func(x *cell) { x.lossy = true; x.flap(until(x)) }, heal},
-		{"duplicated and reordered packets", func(x *cell) { x.lossy, x.stray = true, 0.5 }, heal},
+		{"duplicated and reordered packets", func(x *cell) { x.lossy, x.stray, x.twice = true, 1, true }, heal},
 		{"two views with one sequence", func(x *cell) {
 			a := x.next(drainTarget(1))
 			x.edits = x.edits[:len(x.edits)-1]
@@ -286,6 +287,18 @@
 	}
 }
 
+// openTwice opens flows; two entries may pass the same opening on.
+func (x *cell) openTwice(from, to uint16) {
+	for port := from; port <= to; port++ {
+		x.open(port)
+		if x.twice {
+			all := x.sorted()
+			x.transmit(all[len(all)-1])
+		}
+		x.run(10 * time.Millisecond)
+	}
+}
+
 func runCell(seed uint64, s matrixStep, f matrixFault) *cell {
 	x := &cell{network: newNetwork(seed), sequence: 1, drains: map[uint32]int64{}, seen: map[uint32]*bundle.View{}}
 	x.openMany(1, 12)
@@ -294,7 +307,7 @@
 	s.begin(x)
 	f.begin(x)
 	x.requestAll()
-	x.openMany(40, 45)
+	x.openTwice(40, 51)
 	x.run(faultTime)
 	if f.end != nil {
 		f.end(x)
