End the measured processes with their test

Cause: a test run that was cut off left an agent process behind. Ruled out: cleanup alone, which does not run when the test binary is killed.

--- a/internal/capacity/process_test.go
+++ b/internal/capacity/process_test.go
@@ -12,8 +12,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -115,6 +117,11 @@
 		role = "agent"
 	}
 	command := exec.Command(binary, role, "--config", config)
+	// The kernel ends the process when this test binary is killed; the signal
+	// belongs to the thread that started it, which therefore stays.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	runtime.LockOSThread()
+	c.Cleanup(runtime.UnlockOSThread)
 	c.Assert(command.Start(), qt.IsNil)
 	c.Cleanup(func() {
 		_ = command.Process.Kill()
