Do not reset flows whose owner serves another service

Cause: after an address moved, the new service's agents hold registrations of flows at the old service's targets. Those send no heartbeats here, so that they looked silent, and a VM list that named one as leaving led to resets of living flows (TestMatrix, roll-out that moves the address, target drains). Ruled out: ignoring the VM list, which is the only sign of a lost VM besides the heartbeats. Change: silence counts only for targets that send heartbeats to this agent. Conclusion: a reset again rests on positive knowledge.

--- a/internal/flow/peers.go
+++ b/internal/flow/peers.go
@@ -62,15 +62,20 @@
 
 // ownerGone is positive knowledge that a registered owner no longer serves: it
 // left the bundle and the drain deadline has passed, or both the VM list and
-// the heartbeats miss it.
+// the heartbeats miss it. Targets of another service send no heartbeats here,
+// for example the owner of flows whose address has moved, so that their silence
+// says nothing.
 func (a *Agent) ownerGone(id uint32, now int64) bool {
 	deadline := a.drainDeadline()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if since, ok := a.left[id]; ok && now-since >= deadline {
+	since, left := a.left[id]
+	if left && now-since >= deadline {
 		return true
 	}
-	return a.gone[id] && a.silentLocked(id, now)
+	target := a.view.Load().Target(id)
+	heartbeats := left || (target != nil && target.Service.ID == a.service.Load())
+	return heartbeats && a.gone[id] && a.silentLocked(id, now)
 }
 
 // observeSender takes the load that every packet between agents carries.
