End a planned stop only when the host has no unseen connections

Cause: an agent that was just started beside a living host and is told to stop ended before it had adopted the host's flows (TestMatrix, stop, agent killed and agent replaced twice). Ruled out: always waiting for the drain deadline, ten minutes for every stop of an agent whose host reports no uptime.

--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -22,10 +22,11 @@
 // Health is an answer of the host's health and load endpoint.
 type Health struct {
 	// State is "ready", "starting", "shedding" or "draining".
-	State       string `json:"state"`
-	BusySlots   int    `json:"busy_slots"`
-	Slots       int    `json:"slots"`
-	Connections int    `json:"connections"`
+	State     string `json:"state"`
+	BusySlots int    `json:"busy_slots"`
+	Slots     int    `json:"slots"`
+	// Connections is nil when the endpoint does not report it.
+	Connections *int `json:"connections"`
 	// StartID identifies the start of the host and UptimeSeconds its age. Both
 	// are optional; without them a restarted host is noticed by its resets.
 	StartID       uint64  `json:"start_id"`
@@ -84,6 +85,9 @@
 	report := flow.HostReport{Failed: failed}
 	if !failed {
 		report.BusySlots = h.BusySlots
+		if h.Connections != nil {
+			report.Connections, report.ConnectionsKnown = *h.Connections, true
+		}
 		report.StartID = h.StartID
 		report.Uptime = time.Duration(h.UptimeSeconds * float64(time.Second))
 		report.Draining = h.State == "draining"
--- a/internal/flow/host.go
+++ b/internal/flow/host.go
@@ -18,8 +18,12 @@
 	// Uptime is the age of the host's start; 0 when it is not reported.
 	Uptime time.Duration
 	// Age is how old the report is.
-	Age                          time.Duration
-	BusySlots                    int
+	Age       time.Duration
+	BusySlots int
+	// Connections is the number of open connections; valid when
+	// ConnectionsKnown is set.
+	Connections                  int
+	ConnectionsKnown             bool
 	Draining, Starting, Shedding bool
 }
 
@@ -166,7 +170,21 @@
 func (a *Agent) Done(now int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.stopping && (now >= a.stopBy || a.openFlows.Load()+a.halfOpen.Load() == 0)
+	if !a.stopping {
+		return false
+	}
+	idle := a.openFlows.Load()+a.halfOpen.Load() == 0 && !a.mayHaveUnseenLocked(now)
+	return idle || now >= a.stopBy
+}
+
+// mayHaveUnseenLocked reports whether the host may have connections that this
+// process has not adopted yet: the host reports some, or, without a report, the
+// process started only a moment ago beside a living host.
+func (a *Agent) mayHaveUnseenLocked(now int64) bool {
+	if a.host.ConnectionsKnown {
+		return a.host.Connections > 0
+	}
+	return a.learning.Load() && now-a.cfg.Started < int64(learnTime)
 }
 
 // Status is the state of an agent for the status command.
