Refuse a forward header that names target 0 as visited

The decoder kept it, the encoder leaves zeros out, so that a forwarded header lost an entry. Ruled out: encoding zeros; no target has the id 0. The cells of TestMatrix run in parallel. Conclusion: decoding and encoding agree.

--- a/internal/flow/matrix_test.go
+++ b/internal/flow/matrix_test.go
@@ -330,6 +330,7 @@
 		for _, f := range matrixFaults() {
 			for seed := uint64(1); seed <= matrixSeeds; seed++ {
 				t.Run(fmt.Sprintf("%s/%s/seed %d", s.name, f.name, seed), func(t *testing.T) {
+					t.Parallel() // each cell has its own network and clock
 					x := runCell(seed, s, f)
 					qt.Assert(t, x.violations, qt.HasLen, 0, qt.Commentf("seed %d", seed))
 					answered := 0
--- a/internal/wire/forward.go
+++ b/internal/wire/forward.go
@@ -13,8 +13,8 @@
 	MaxVisited = 16
 )
 
-// ErrHeader reports a forward header that is not valid protobuf or exceeds
-// MaxVisited.
+// ErrHeader reports a forward header that is not valid protobuf, names the
+// visited target 0, or exceeds MaxVisited.
 var ErrHeader = errors.New("wire: forward header is malformed")
 
 // Forward is schema.ForwardHeader in a form that is encoded and decoded
@@ -143,7 +143,7 @@
 	return size
 }
 
-// setField reports false when a visited target exceeds the bound.
+// setField reports false when a visited target is invalid or exceeds the bound.
 func (f *Forward) setField(field protowire.Number, value uint64) bool {
 	switch field {
 	case fieldServiceID:
@@ -155,7 +155,8 @@
 	case fieldFlags:
 		f.Flags = uint32(value)
 	case fieldVisited:
-		return f.Visit(uint32(value))
+		// No target has the id 0, and the encoder leaves zeros out.
+		return uint32(value) != 0 && f.Visit(uint32(value))
 	case fieldSenderTargetID:
 		f.SenderTargetID = uint32(value)
 	case fieldSenderBusySlots:
