Test the too-big answer and the planned stop of an entry

Cause: the MTU rule and the planned stop had tests of their parts only. Ruled out: nothing. Change: internal/entry/entry_test.go over loopback sockets. Conclusion: a caller learns an inner MTU of 1,400 bytes; a stopping entry forwards until the fabric is silent.

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"encoding/binary"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/heathergw/heathergw/internal/packet"
+	"github.com/heathergw/heathergw/internal/wire"
+)
+
+// startEntry runs an entry whose agents are all the returned socket. The other
+// socket stands for the fabric.
+func startEntry(c *qt.C) (e *Entry, agents, fabric *wire.Socket) {
+	agents, fabric = listenLoopback(c.TB), listenLoopback(c.TB)
+	e, err := New(testSettings(), zap.NewNop())
+	c.Assert(err, qt.IsNil)
+	e.SetView(sinkView(c.TB, agents))
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	c.Cleanup(func() {
+		stop()
+		c.Check(<-done, qt.IsNil)
+	})
+	return e, agents, fabric
+}
+
+// read returns the next datagram of the socket.
+func read(c *qt.C, s *wire.Socket) []byte {
+	received := make(chan []byte, 1)
+	go func() {
+		messages := wire.NewReadBatch(1)
+		if _, err := s.ReadBatch(messages); err == nil {
+			received <- messages[0].Buffers[0][:messages[0].N]
+		}
+	}()
+	select {
+	case datagram := <-received:
+		return datagram
+	case <-time.After(5 * time.Second):
+		c.Fatal("no datagram")
+		return nil
+	}
+}
+
+func segment(c *qt.C, k packet.Key, payload int) []byte {
+	data, err := packet.Build(packet.Segment{Key: k, Flags: packet.FlagACK, Payload: make([]byte, payload)})
+	c.Assert(err, qt.IsNil)
+	return data
+}
+
+// Guards against callers that never learn the smaller MTU behind an entry, and
+// against oversized packets that reach an agent.
+func TestOversizedPacketIsAnsweredWithTooBig(t *testing.T) {
+	c := qt.New(t)
+	e, agents, fabric := startEntry(c)
+	key := flowPacket(1, 0).Key
+	big := segment(c, key, 1400) // 1,440 bytes with headers, above the 1,400 allowed
+	c.Assert(fabric.WriteTo(wire.AppendGRE(nil, big), e.fabric.Address()), qt.IsNil)
+
+	answer, err := wire.OpenGRE(read(c, fabric))
+	c.Assert(err, qt.IsNil)
+	const typeAt, mtuAt = 20, 26 // offsets of the ICMP type and next-hop MTU (RFC 1191)
+	c.Check(answer[typeAt], qt.Equals, byte(3))
+	c.Check(answer[typeAt+1], qt.Equals, byte(4))
+	c.Check(binary.BigEndian.Uint16(answer[mtuAt:]), qt.Equals, uint16(1400))
+	destination, _ := netip.AddrFromSlice(answer[16:20])
+	c.Check(destination, qt.Equals, key.Source.Addr())
+
+	// The next datagram that an agent gets is the small packet after it.
+	small := segment(c, key, 10)
+	c.Assert(fabric.WriteTo(wire.AppendGRE(nil, small), e.fabric.Address()), qt.IsNil)
+	kind, _, inner, err := e.node.Keys.Open(read(c, agents))
+	c.Assert(err, qt.IsNil)
+	c.Check(kind, qt.Equals, wire.KindForward)
+	c.Check(inner, qt.DeepEquals, small)
+}
+
+// Guards against a planned stop that drops packets which the fabric still
+// sends, or that never ends.
+func TestPlannedStopForwardsUntilTheFabricIsSilent(t *testing.T) {
+	c := qt.New(t)
+	agents, fabric := listenLoopback(t), listenLoopback(t)
+	settings := testSettings()
+	settings.GetEntry().StopIdle = durationpb.New(time.Second)
+	settings.GetEntry().StopDeadline = durationpb.New(time.Minute)
+	e, err := New(settings, zap.NewNop())
+	c.Assert(err, qt.IsNil)
+	e.SetView(sinkView(t, agents))
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	stop()
+	data := segment(c, flowPacket(1, 0).Key, 10)
+	c.Assert(fabric.WriteTo(wire.AppendGRE(nil, data), e.fabric.Address()), qt.IsNil)
+	read(c, agents)
+	c.Check(<-done, qt.IsNil)
+}
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-func listenLoopback(b *testing.B) *wire.Socket {
+func listenLoopback(b testing.TB) *wire.Socket {
 	s, err := wire.Listen("127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -105,7 +105,7 @@
 }
 
 // sinkView returns a bundle whose targets all have the sink as agent.
-func sinkView(b *testing.B, sink *wire.Socket) *bundle.View {
+func sinkView(b testing.TB, sink *wire.Socket) *bundle.View {
 	v := testView(b, 10)
 	for _, target := range v.Services[0].Targets {
 		target.Agent = sink.Address()
