Test that an entry forwards both IP families and transports

Cause: IPv6 and UDP were tested in the parser only. Ruled out: new stand-ins for them; the path to the agent is what was untested. Change: one test over loopback sockets. Conclusion: four combinations reach the agent unchanged.

--- a/internal/entry/decide_test.go
+++ b/internal/entry/decide_test.go
@@ -21,7 +21,12 @@
 func testBundle(targets int) *schema.Bundle {
 	service := &schema.Service{
 		Id: 1, Name: "booking",
-		Addresses: []*schema.ServiceAddress{{Ip: "198.51.100.1", Port: 443, Protocol: schema.Protocol_PROTOCOL_TCP}},
+		Addresses: []*schema.ServiceAddress{
+			{Ip: "198.51.100.1", Port: 443, Protocol: schema.Protocol_PROTOCOL_TCP},
+			{Ip: "198.51.100.1", Port: 443, Protocol: schema.Protocol_PROTOCOL_UDP},
+			{Ip: "2001:db8::1", Port: 443, Protocol: schema.Protocol_PROTOCOL_TCP},
+			{Ip: "2001:db8::1", Port: 443, Protocol: schema.Protocol_PROTOCOL_UDP},
+		},
 	}
 	for i := range targets {
 		service.Targets = append(service.Targets, &schema.Target{
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -83,6 +83,32 @@
 	c.Check(inner, qt.DeepEquals, small)
 }
 
+// Guards against a packet of one IP family or transport that is lost or altered
+// on its way to the agent.
+func TestForwardsEveryFamilyAndTransport(t *testing.T) {
+	c := qt.New(t)
+	e, agents, fabric := startEntry(c)
+	for _, ends := range [][2]string{
+		{"192.0.2.7:40000", "198.51.100.1:443"},
+		{"[2001:db8::7]:40000", "[2001:db8::1]:443"},
+	} {
+		key := packet.Key{
+			Protocol: packet.ProtocolTCP,
+			Source:   netip.MustParseAddrPort(ends[0]), Destination: netip.MustParseAddrPort(ends[1]),
+		}
+		datagram := key
+		datagram.Protocol = packet.ProtocolUDP
+		udp, err := packet.BuildUDP(datagram, []byte("request"))
+		c.Assert(err, qt.IsNil)
+		for _, data := range [][]byte{segment(c, key, 10), udp} {
+			c.Assert(fabric.WriteTo(wire.AppendGRE(nil, data), e.fabric.Address()), qt.IsNil)
+			_, _, inner, err := e.node.Keys.Open(read(c, agents))
+			c.Assert(err, qt.IsNil)
+			c.Check(inner, qt.DeepEquals, data)
+		}
+	}
+}
+
 // Guards against a planned stop that drops packets which the fabric still
 // sends, or that never ends.
 func TestPlannedStopForwardsUntilTheFabricIsSilent(t *testing.T) {
