Let a planned stop wait for flows that only the host knows

Cause: an agent that was replaced beside a living host ended its planned stop 10 s after its start, although idle flows of the host were not adopted yet (TestMatrix, stop, agent replaced twice; known failure 2). Ruled out: a longer fixed wait; no wait short of the deadline covers an idle flow. Change: without a report of connections, an agent younger than its host waits for the drain deadline. The cell is no longer skipped.

--- a/Makefile
+++ b/Makefile
@@ -5,12 +5,9 @@
 build:
 	go build -o bin/heathergw ./cmd/heathergw
 
-# The known failures of KNOWN-RED.txt; nothing else may be skipped.
-SKIP = TestMatrix/^stop$$/^agent_replaced_twice$$
-
 # Tests with the race detector; one run per call, so that no result is cached.
 test:
-	go test -race -count=1 -timeout 20m -skip '$(SKIP)' ./...
+	go test -race -count=1 -timeout 20m ./...
 
 generate:
 	tools/generate.sh
--- a/internal/flow/host.go
+++ b/internal/flow/host.go
@@ -173,18 +173,19 @@
 	if !a.stopping {
 		return false
 	}
-	idle := a.openFlows.Load()+a.halfOpen.Load() == 0 && !a.mayHaveUnseenLocked(now)
+	idle := a.openFlows.Load()+a.halfOpen.Load() == 0 && !a.mayHaveUnseenLocked()
 	return idle || now >= a.stopBy
 }
 
 // mayHaveUnseenLocked reports whether the host may have connections that this
 // process has not adopted yet: the host reports some, or, without a report, the
-// process started only a moment ago beside a living host.
-func (a *Agent) mayHaveUnseenLocked(now int64) bool {
+// host is older than the process. An idle flow shows itself to nobody, so that
+// only the drain deadline ends the wait then.
+func (a *Agent) mayHaveUnseenLocked() bool {
 	if a.host.ConnectionsKnown {
 		return a.host.Connections > 0
 	}
-	return a.learning.Load() && now-a.cfg.Started < int64(learnTime)
+	return a.learning.Load()
 }
 
 // Status is the state of an agent for the status command.
