Share the planned stop and the ticker loops of both roles

Ruled out: one Run for both roles; their actors differ. Change: node.AwaitStop and node.Every; behaviour as before. Conclusion: each loop stands once.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -117,48 +117,27 @@
 
 // awaitStop returns when a planned stop is complete.
 func (a *Agent) awaitStop(ctx, stopped context.Context) error {
-	select {
-	case <-stopped.Done():
-		return nil
-	case <-ctx.Done():
-	}
-	a.stopping.Store(true)
-	a.node.Log.Info("planned stop begins")
-	s := a.newSender()
-	a.table.Drain(node.Clock(), &s.actions)
-	s.perform()
-	s.flush()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for !a.table.Done(node.Clock()) {
-		select {
-		case <-stopped.Done():
-			return nil
-		case <-ticker.C:
-		}
+	begin := func() {
+		a.stopping.Store(true)
+		s := a.newSender()
+		a.table.Drain(node.Clock(), &s.actions)
+		s.perform()
+		s.flush()
 	}
-	a.node.Log.Info("planned stop complete")
-	return nil
+	return a.node.AwaitStop(ctx, stopped, tickInterval, begin, func() bool { return a.table.Done(node.Clock()) })
 }
 
 // tickLoop drives the timeouts of the flow table.
 func (a *Agent) tickLoop(ctx context.Context) error {
 	s := a.newSender()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			now := node.Clock()
-			a.followVMs()
-			a.tellEntries(now)
-			a.table.Tick(now, &s.actions)
-			s.perform()
-			s.flush()
-		}
-	}
+	return node.Every(ctx, tickInterval, func() {
+		now := node.Clock()
+		a.followVMs()
+		a.tellEntries(now)
+		a.table.Tick(now, &s.actions)
+		s.perform()
+		s.flush()
+	})
 }
 
 // stale reports whether datagrams read now queued while the process was
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/heathergw/heathergw/internal/flow"
+	"github.com/heathergw/heathergw/internal/node"
 )
 
 // flowMetricsInterval is how often the flow table's counts reach the metrics.
@@ -32,14 +33,5 @@
 // metricsLoop publishes the counts until ctx ends.
 func (a *Agent) metricsLoop(ctx context.Context) error {
 	metrics := newFlowMetrics(a.node.Metrics)
-	ticker := time.NewTicker(flowMetricsInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			metrics.publish(&a.table.Counters)
-		}
-	}
+	return node.Every(ctx, flowMetricsInterval, func() { metrics.publish(&a.table.Counters) })
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,28 +92,19 @@
 
 // awaitStop returns when a planned stop is complete.
 func (e *Entry) awaitStop(ctx, stopped context.Context) error {
-	select {
-	case <-stopped.Done():
-		return nil
-	case <-ctx.Done():
-	}
-	e.stopping.Store(true)
-	e.node.Log.Info("planned stop begins")
 	settings := e.node.Settings.GetEntry()
 	idle, deadline := settings.GetStopIdle().AsDuration(), settings.GetStopDeadline().AsDuration()
-	end := node.Clock() + int64(deadline)
-	e.lastPacket.CompareAndSwap(0, node.Clock())
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for now := node.Clock(); now < end && now-e.lastPacket.Load() < int64(idle); now = node.Clock() {
-		select {
-		case <-stopped.Done():
-			return nil
-		case <-ticker.C:
-		}
+	var end int64
+	begin := func() {
+		e.stopping.Store(true)
+		end = node.Clock() + int64(deadline)
+		e.lastPacket.CompareAndSwap(0, node.Clock())
+	}
+	done := func() bool {
+		now := node.Clock()
+		return now >= end || now-e.lastPacket.Load() >= int64(idle)
 	}
-	e.node.Log.Info("planned stop complete")
-	return nil
+	return e.node.AwaitStop(ctx, stopped, tickInterval, begin, done)
 }
 
 // fabricWorker reads batches from the fabric and forwards them. Each worker
@@ -203,17 +194,10 @@
 // tickLoop probes silent targets, so that one that answers again is used.
 func (e *Entry) tickLoop(ctx context.Context) error {
 	queue := wire.NewWriteQueue(e.node.Peers, wire.BatchSize)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			e.probeSilent(queue, node.Clock())
-			queue.Flush()
-		}
-	}
+	return node.Every(ctx, tickInterval, func() {
+		e.probeSilent(queue, node.Clock())
+		queue.Flush()
+	})
 }
 
 func (e *Entry) probeSilent(queue *wire.WriteQueue, now int64) {
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -34,16 +34,7 @@
 
 // Run refreshes the watch until ctx ends.
 func (w *PauseWatch) Run(ctx context.Context, timeout func() time.Duration) error {
-	ticker := time.NewTicker(pauseCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			w.Check(Clock(), timeout())
-		}
-	}
+	return Every(ctx, pauseCheckInterval, func() { w.Check(Clock(), timeout()) })
 }
 
 // Check reports whether the process was paused for longer than timeout before
