--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// blast sends full batches to the relay for relayTime.
-func blast(b *testing.B, to *wire.Socket) {
+// sendBatches sends full batches to the relay for relayTime.
+func sendBatches(b *testing.B, to *wire.Socket) {
 	data, err := packet.Build(packet.Segment{
 		Key: flowPacket(1, 0).Key, Flags: packet.FlagACK, Payload: make([]byte, relayPayloadBytes),
 	})
@@ -75,10 +75,10 @@
 	}
 }
 
-func blastAll(b *testing.B, to *wire.Socket) {
+func sendFromAll(b *testing.B, to *wire.Socket) {
 	var senders sync.WaitGroup
 	for range relaySenders {
-		senders.Go(func() { blast(b, to) })
+		senders.Go(func() { sendBatches(b, to) })
 	}
 	senders.Wait()
 }
@@ -117,9 +117,9 @@
 // relay that only copies datagrams; the stated bound is a ratio of 0.6.
 func BenchmarkRelay(b *testing.B) {
 	measure := func(in *wire.Socket, count *atomic.Int64) float64 {
-		blastAll(b, in) // warms up caches and socket buffers
+		sendFromAll(b, in) // warms up caches and socket buffers
 		before, begin := count.Load(), time.Now()
-		blastAll(b, in)
+		sendFromAll(b, in)
 		return float64(count.Load()-before) / time.Since(begin).Seconds()
 	}
 	for b.Loop() {
--- a/internal/flow/answer.go
+++ b/internal/flow/answer.go
@@ -259,7 +259,7 @@
 	if !a.takeQuery(q) {
 		return
 	}
-	a.disown(q, out)
+	a.denyRegistrations(q, out)
 	a.keepRegistration(registration{key: q.key, owner: owner, agent: agent, expiry: now + int64(registrationLifetime)})
 	a.yield(&q.held[0].packet, now, out)
 	a.sendHeld(q, owner, agent, uint32(schema.ForwardFlag_FORWARD_FLAG_REGISTERED_OWNER), now, out)
--- a/internal/flow/hold.go
+++ b/internal/flow/hold.go
@@ -181,7 +181,7 @@
 		return
 	}
 	a.Counters.values[DropNoOwner].Add(uint64(len(q.held)))
-	a.disown(q, out)
+	a.denyRegistrations(q, out)
 	for i := range q.held {
 		h := &q.held[i]
 		if i == 0 || h.from != q.held[i-1].from {
@@ -210,9 +210,9 @@
 	out.Changes = append(out.Changes, Change{Subject: "flow " + p.Key.String(), To: "reset", Reason: reason})
 }
 
-// disown tells the agents that sent held packets by a registration that it is
+// denyRegistrations tells the agents that sent held packets by a registration that it is
 // out of date.
-func (a *Agent) disown(q *query, out *Actions) {
+func (a *Agent) denyRegistrations(q *query, out *Actions) {
 	var told []netip.AddrPort
 	for i := range q.held {
 		h := &q.held[i]
--- a/internal/flow/matrix_test.go
+++ b/internal/flow/matrix_test.go
@@ -132,15 +132,15 @@
 	}
 }
 
-// deaf has a node send and receive nothing.
-func (x *cell) deaf(d *node, until int64) {
+// isolate has a node send and receive nothing.
+func (x *cell) isolate(d *node, until int64) {
 	if x.now >= until || d.agent == nil {
 		d.paused, d.backlog = false, nil
 		return
 	}
 	d.paused, d.backlog = true, nil
 	x.do(d, func(out *Actions) { d.agent.Tick(x.now, out); x.report(d, out) })
-	x.at(50*time.Millisecond, func() { x.deaf(d, until) })
+	x.at(50*time.Millisecond, func() { x.isolate(d, until) })
 }
 
 func (x *cell) partition() {
@@ -179,7 +179,7 @@
 		{"platform stale", func(x *cell) { x.put(testView(1, nil), x.all()...) }, func(x *cell) { x.put(testView(1, nil), x.all()...) }},
 		{"process pause and late wake-up", func(x *cell) { v(x).paused = true }, func(x *cell) { x.resume(v(x)) }},
 		{"partition, both sides serve", (*cell).partition, heal},
-		{"one-way cut", func(x *cell) { x.deaf(v(x), until(x)) }, nil},
+		{"one-way cut", func(x *cell) { x.isolate(v(x), until(x)) }, nil},
 		{"lossy control links 30%", func(x *cell) { x.lossy = true; x.flap(until(x)) }, heal},
 		{"duplicated and reordered packets", func(x *cell) { x.lossy, x.stray, x.twice = true, 1, true }, heal},
 		{"two views with one sequence", func(x *cell) {
