Admit openings by the measured handshake

The limit of one and a half times the slots counted an opening like a request, but its request came later by a handshake of 50 ms and more.

Change: the limit grows by the openings that the slots work off in a handshake. Handshake and work are moving averages of what the agent sees; work counts only for requests that found a free slot.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -63,8 +63,10 @@
 	// ended is set when the host has closed the flow.
 	ended bool
 	at    int64
-	// since is when the flow became busy.
-	since int64
+	// since is when the flow became busy, asked when the caller's data came;
+	// asking is set from then until the answer, alone when a slot was free.
+	since, asked  int64
+	asking, alone bool
 }
 
 // waiting is an opening that waits for a free slot.
@@ -75,6 +77,21 @@
 	since int64
 }
 
+// smoothing is the weight of the newest of the times that a moving average
+// follows: one eighth, as for round trips in RFC 6298.
+const smoothing = 8
+
+// average is a moving average of times; zero until the first one.
+type average time.Duration
+
+func (a *average) add(d time.Duration) {
+	if *a == 0 {
+		*a = average(d)
+		return
+	}
+	*a += (average(d) - *a) / smoothing
+}
+
 // Admission limits the openings that a host gets at once to what its slots can
 // work on. It answers a burst of openings that exceeds the slots, as after a
 // power loss, when every caller opens its flows again: the newest opening is
@@ -82,12 +99,17 @@
 // while the surplus of capacity works off the rest. It is safe for concurrent
 // use.
 type Admission struct {
-	mu      sync.Mutex // guards the fields below
-	slots   int
-	flows   map[packet.Key]*flowState
-	busy    int
-	waiting []waiting // by since, oldest first
-	swept   int64
+	mu    sync.Mutex // guards the fields below
+	slots int
+	flows map[packet.Key]*flowState
+	busy  int
+	// requests is the number of busy flows whose data has come.
+	requests int
+	// handshake is the time from an opening to its first data, work that from
+	// a request that found a free slot to its answer.
+	handshake, work average
+	waiting         []waiting // by since, oldest first
+	swept           int64
 }
 
 // NewAdmission returns an admission without a limit; see SetSlots.
@@ -111,10 +133,23 @@
 	return a.busy
 }
 
+// maxHandshakes bounds the openings on the way for each slot. A handshake that
+// takes longer than the work on two requests is one that lost packets.
+const maxHandshakes = 2
+
 // limit is the number of requests up to which openings are admitted. Half as
-// many as there are slots may queue at the host, because a request arrives only
-// a round trip after its opening.
-func (a *Admission) limit() int { return a.slots + (a.slots+1)/2 }
+// many as there are slots may queue at the host. A request arrives a handshake
+// after its opening, so that as many more openings must be on the way as the
+// slots work off in that time: under load a handshake can take longer than the
+// work, and slots would stay empty while openings wait.
+func (a *Admission) limit() int {
+	limit := a.slots + (a.slots+1)/2
+	if a.work > 0 {
+		onTheWay := (average(a.slots)*a.handshake + a.work/2) / a.work
+		limit += min(int(onTheWay), maxHandshakes*a.slots)
+	}
+	return limit
+}
 
 // Full reports whether the host has as many requests as it should get. Flows
 // that are known already are let through.
@@ -152,6 +187,13 @@
 		}
 		a.setBusy(f, true)
 	}
+	if p.Length > 0 && f.busy && !f.asking {
+		f.asked, f.asking, f.alone = now, true, a.requests < a.slots
+		a.requests++
+		if !f.opened && f.answered {
+			a.handshake.add(time.Duration(now - f.since))
+		}
+	}
 	f.opened = f.opened || p.Length > 0
 }
 
@@ -198,6 +240,9 @@
 		f.replied, f.done = true, p.Acknowledgment
 		f.ended = f.ended || p.Flags.Has(FlagFinishes)
 		took, answer = time.Duration(now-f.since), f.busy && p.Length > 0
+		if answer && f.alone {
+			a.work.add(time.Duration(now - f.asked))
+		}
 		a.setBusy(f, false)
 	}
 	return took, answer
@@ -210,6 +255,10 @@
 	case !busy && f.busy:
 		a.busy--
 	}
+	if !busy && f.asking {
+		a.requests--
+		f.asking = false
+	}
 	f.busy = busy
 }
 
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -186,3 +186,92 @@
 		c.Check(served >= 0.9, qt.IsTrue)
 	}
 }
+
+// overload plays one host of two slots whose callers open more flows than it
+// can serve, each for one request that arrives a handshake after its opening.
+// It returns the share of the slots' time in which they worked, and the mean
+// time that requests waited in the host.
+func overload(handshake, work time.Duration, seed uint64) (used float64, waited time.Duration) {
+	const (
+		slots    = 2
+		duration = 3 * time.Second
+	)
+	random := rand.New(rand.NewPCG(seed, 2))
+	a := NewAdmission()
+	a.SetSlots(slots)
+	type event struct {
+		at    int64
+		flow  int
+		ended bool
+	}
+	var events []event
+	var queue []int64
+	var flows, running, answered int
+	var busy, wait time.Duration
+	open := func(now int64) {
+		a.Delivered(&Packet{Key: flowKey(flows), Flags: FlagOpens}, now)
+		a.Answered(flowKey(flows), &Packet{Flags: FlagOpens | FlagAcknowledges}, now)
+		events = append(events, event{at: now + int64(float64(handshake)*(0.5+random.Float64())), flow: flows})
+		flows++
+	}
+	begin := func(flow int, now int64) {
+		running++
+		d := time.Duration(float64(work) * (0.5 + random.Float64()))
+		busy += d
+		events = append(events, event{at: now + int64(d), flow: flow, ended: true})
+	}
+	waiting := map[int64]int{}
+	for now := int64(time.Hour); now < int64(time.Hour+duration); now += int64(time.Millisecond) {
+		for !a.Full(flowKey(flows), now) {
+			open(now)
+		}
+		for i := 0; i < len(events); i++ {
+			e := events[i]
+			if e.at > now {
+				continue
+			}
+			events = append(events[:i], events[i+1:]...)
+			i--
+			if e.ended {
+				a.Answered(flowKey(e.flow), &Packet{Flags: FlagAcknowledges, Length: 1}, now)
+				answered++
+				running--
+				if len(queue) > 0 {
+					wait += time.Duration(now - queue[0])
+					begin(waiting[queue[0]], now)
+					queue = queue[1:]
+				}
+				continue
+			}
+			a.Delivered(&Packet{Key: flowKey(e.flow), Flags: FlagAcknowledges, Length: 1}, now)
+			if running < slots {
+				begin(e.flow, now)
+				continue
+			}
+			at := now
+			for waiting[at] != 0 {
+				at++ // distinct keys of requests that came in the same moment
+			}
+			waiting[at] = e.flow
+			queue = append(queue, at)
+		}
+	}
+	return float64(busy) / float64(slots*duration), wait / time.Duration(answered)
+}
+
+// Guards against slots that stay empty while openings wait: under load a
+// handshake takes as long as the work on a request, and with a limit that
+// counts openings like requests a third of the slots' time was lost. A limit
+// that is too high shows as requests that wait in the host.
+func TestLimitKeepsSlotsBusyDuringSlowHandshakes(t *testing.T) {
+	c := qt.New(t)
+	const work = 50 * time.Millisecond
+	for _, handshake := range []time.Duration{15 * time.Millisecond, 60 * time.Millisecond, 90 * time.Millisecond} {
+		for seed := range uint64(5) {
+			used, waited := overload(handshake, work, seed)
+			c.Logf("handshake %v, seed %d: used %.2f, waited %v", handshake, seed, used, waited)
+			c.Check(used >= 0.9, qt.IsTrue, qt.Commentf("handshake %v, seed %d: slots used %.2f", handshake, seed, used))
+			c.Check(waited <= work, qt.IsTrue, qt.Commentf("handshake %v, seed %d: %v in the host", handshake, seed, waited))
+		}
+	}
+}
