Count requests of flows that the host has

Cause: an agent counted each packet with data that it delivered as a request, also those of a search, until the host returned them. After a loss of power an agent delivers some 2,700 such packets a second, and they filled the limit on openings.

Ruled out: openings that nobody uses (one in 100 ms and agent), requests that the host never answers (0.1 for each agent).

Change: a packet of an unknown flow counts for nothing. A flow that was opened before the agent started counts from the host's first answer on it.

TestSearchesTakeNoSlots failed before (10 requests counted, none wanted).

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -174,10 +174,12 @@
 		return
 	}
 	if f == nil {
-		if len(a.flows) >= maxFlows {
+		// A packet of an unknown flow is most likely one that the host returns:
+		// only the host's answer tells that the flow is there.
+		if !p.IsOpening() || len(a.flows) >= maxFlows {
 			return
 		}
-		f = &flowState{half: p.IsOpening()}
+		f = &flowState{half: true}
 		a.flows[p.Key] = f
 	}
 	f.at = now
@@ -228,7 +230,11 @@
 	defer a.mu.Unlock()
 	f := a.flows[k]
 	if f == nil {
-		return 0, false
+		if p.Flags&(FlagReturned|FlagResets|FlagOpens) != 0 || len(a.flows) >= maxFlows {
+			return 0, false
+		}
+		f = &flowState{opened: true} // it was opened before this process started
+		a.flows[k] = f
 	}
 	f.at = now
 	switch {
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -34,6 +34,28 @@
 	c.Check(a.Busy(), qt.Equals, 0, qt.Commentf("the host closed the flow"))
 }
 
+// Guards against searches that take the host's slots: after a loss of power an
+// agent gets thousands of packets a second of flows that its host returns, and
+// each counted as a request until it came back. A flow from before the agent's
+// start counts once the host has answered on it.
+func TestSearchesTakeNoSlots(t *testing.T) {
+	c := qt.New(t)
+	a := NewAdmission()
+	a.SetSlots(2)
+	now := int64(time.Hour)
+	for i := range 10 {
+		a.Delivered(&Packet{Key: flowKey(i), Flags: FlagAcknowledges, Length: 50}, now)
+	}
+	c.Check(a.Busy(), qt.Equals, 0)
+	c.Check(a.Full(flowKey(99), now), qt.IsFalse)
+	for i := range 9 {
+		a.Answered(flowKey(i), &Packet{Flags: FlagAcknowledges | FlagReturned}, now)
+	}
+	a.Answered(flowKey(9), &Packet{Flags: FlagAcknowledges, Acknowledgment: 50, Length: 10}, now)
+	a.Delivered(&Packet{Key: flowKey(9), Flags: FlagAcknowledges, Sequence: 50, Length: 50}, now)
+	c.Check(a.Busy(), qt.Equals, 1)
+}
+
 // Guards against slots held by openings that their callers do not use.
 func TestAdmissionForgetsUnusedOpenings(t *testing.T) {
 	c := qt.New(t)
