Let new requests come before those of lost flows

Cause: after a loss of power a caller whose flow is gone gets a reset and repeats its request on a new flow, 85 ms later. Its opening looks like that of a new request, and the newest opening is admitted first.

Ruled out: telling such openings by their packets (ports and numbers of the new flow are new); telling other agents (all agents of the service see a packet that is looked for everywhere, so each knows already).

Change: an agent remembers for 0.4 s which callers had packets in complete searches. The next opening of such a caller to the same destination counts from the first of them when it has to wait.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -73,8 +73,9 @@
 type waiting struct {
 	key      packet.Key
 	datagram []byte
-	// since is when the caller sent the first copy of the opening.
-	since int64
+	// sent is when the caller sent the first copy of the opening, since when
+	// its request began, perhaps on a flow that was lost.
+	sent, since int64
 }
 
 // smoothing is the weight of the newest of the times that a moving average
@@ -294,11 +295,12 @@
 	}
 }
 
-// Wait keeps an opening until a slot is free or its caller gives up. When too
-// many wait, the oldest one is dropped, which Wait reports. It is not refused:
-// its caller may have opened the flow with another copy, and one that is refused
-// under overload only comes back at once, as a new opening.
-func (a *Admission) Wait(p *Packet, now int64) (dropped bool) {
+// Wait keeps an opening until a slot is free or its caller gives up; since is
+// when its request began, now or earlier. When too many wait, the oldest one is
+// dropped, which Wait reports. It is not refused: its caller may have opened the
+// flow with another copy, and one that is refused under overload only comes back
+// at once, as a new opening.
+func (a *Admission) Wait(p *Packet, since, now int64) (dropped bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for i := range a.waiting {
@@ -306,7 +308,8 @@
 			return false // a later copy of an opening that waits
 		}
 	}
-	w := waiting{key: p.Key, datagram: append([]byte(nil), p.Datagram...), since: now - int64(openingAge(p.Copy()))}
+	age := int64(openingAge(p.Copy()))
+	w := waiting{key: p.Key, datagram: append([]byte(nil), p.Datagram...), sent: now - age, since: since - age}
 	at, _ := slices.BinarySearchFunc(a.waiting, w.since+1, func(x waiting, since int64) int { return cmp.Compare(x.since, since) })
 	a.waiting = slices.Insert(a.waiting, at, w)
 	if len(a.waiting) <= a.slots*waitingPerSlot {
@@ -322,16 +325,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sweep(now)
-	expired := 0
-	for expired < len(a.waiting) && now-a.waiting[expired].since >= int64(openingLife) {
-		expired++
-	}
-	a.waiting = append(a.waiting[:0], a.waiting[expired:]...)
+	a.waiting = slices.DeleteFunc(a.waiting, func(w waiting) bool { return now-w.sent >= int64(openingLife) })
 	if len(a.waiting) == 0 || a.busy >= a.limit() {
 		return nil, 0
 	}
 	last := len(a.waiting) - 1
 	newest := a.waiting[last]
 	a.waiting = a.waiting[:last]
-	return newest.datagram, time.Duration(now - newest.since)
+	return newest.datagram, time.Duration(now - newest.sent)
 }
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -78,10 +78,10 @@
 	a.SetSlots(1)
 	now := int64(time.Hour)
 	for i := range waitingPerSlot {
-		c.Assert(a.Wait(&Packet{Key: flowKey(i), Datagram: []byte{byte(i)}}, now), qt.IsFalse)
-		c.Assert(a.Wait(&Packet{Key: flowKey(i), Datagram: []byte{byte(i)}}, now), qt.IsFalse)
+		c.Assert(a.Wait(&Packet{Key: flowKey(i), Datagram: []byte{byte(i)}}, now, now), qt.IsFalse)
+		c.Assert(a.Wait(&Packet{Key: flowKey(i), Datagram: []byte{byte(i)}}, now, now), qt.IsFalse)
 	}
-	c.Check(a.Wait(&Packet{Key: flowKey(99), Datagram: []byte{99}}, now), qt.IsTrue)
+	c.Check(a.Wait(&Packet{Key: flowKey(99), Datagram: []byte{99}}, now, now), qt.IsTrue)
 	newest, waited := a.Next(now + int64(time.Second))
 	c.Check(newest, qt.DeepEquals, []byte{99})
 	c.Check(waited, qt.Equals, time.Second)
@@ -95,9 +95,9 @@
 	a := NewAdmission()
 	a.SetSlots(1)
 	now := int64(time.Hour)
-	a.Wait(&Packet{Key: flowKey(0), Datagram: []byte{0}}, now)
-	a.Wait(&Packet{Key: flowKey(1), Datagram: []byte{1}, Acknowledgment: 1}, now+1)
-	a.Wait(&Packet{Key: flowKey(2), Datagram: []byte{2}, Acknowledgment: 2}, now+2)
+	a.Wait(&Packet{Key: flowKey(0), Datagram: []byte{0}}, now, now)
+	a.Wait(&Packet{Key: flowKey(1), Datagram: []byte{1}, Acknowledgment: 1}, now+1, now+1)
+	a.Wait(&Packet{Key: flowKey(2), Datagram: []byte{2}, Acknowledgment: 2}, now+2, now+2)
 	for _, want := range []byte{0, 1, 2} {
 		got, _ := a.Next(now + 3)
 		c.Check(got, qt.DeepEquals, []byte{want})
@@ -159,7 +159,7 @@
 			case !newestFirst:
 				fifo = append(fifo, next)
 			case a.Full(flowKey(next), now):
-				a.Wait(&Packet{Key: flowKey(next), Datagram: []byte{byte(next), byte(next >> 8)}}, now)
+				a.Wait(&Packet{Key: flowKey(next), Datagram: []byte{byte(next), byte(next >> 8)}}, now, now)
 			default:
 				start(next, now)
 				running[next] = callers[next].done
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -30,6 +30,8 @@
 	// unowned holds when a packet of a flow was first returned by every
 	// candidate.
 	unowned *lru.Cache[packet.Key, int64]
+	// returning holds the callers whose flows were lost.
+	returning *returning
 }
 
 // maxUnowned bounds the flows that wait for a reset: those of one host that
@@ -43,7 +45,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Agent{Core: core, ID: catalog.MemberID(address), DataCentre: dataCentre, Check: catalog.ServiceCheck(service), Admission: NewAdmission(), unowned: unowned}, nil
+	returning, err := newReturning()
+	if err != nil {
+		return nil, err
+	}
+	return &Agent{
+		Core: core, ID: catalog.MemberID(address), DataCentre: dataCentre, Check: catalog.ServiceCheck(service),
+		Admission: NewAdmission(), unowned: unowned, returning: returning,
+	}, nil
 }
 
 // FromPeer decides on a caller's packet that another process passed here.
@@ -124,9 +133,18 @@
 	}
 	note := DecodeNote(p.Note)
 	note.Hops++
+	if note.Complete && !p.IsOpening() {
+		a.returning.lost(p, now)
+	}
 	return a.passOn(p, note, now)
 }
 
+// Wait keeps an opening until the host has room; it reports whether it dropped
+// the oldest one that waits.
+func (a *Agent) Wait(p *Packet, now int64) (dropped bool) {
+	return a.Admission.Wait(p, a.returning.since(p, now), now)
+}
+
 // hostAbsence is how long a host that refused a datagram is left alone. A host
 // that starts again gets its first packet that much later at the most.
 const hostAbsence = 200 * time.Millisecond
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -67,6 +67,8 @@
 	host      *net.UDPConn
 	packet    relay.Packet
 	admission *relay.Admission // nil in an entry
+	// wait keeps an opening until the host has room.
+	wait func(p *relay.Packet, now int64) (dropped bool)
 	// decide is the role's decision on a packet of this socket.
 	decide func(p *relay.Packet, now int64) relay.Verdict
 	// refused decides on a packet that the host's address refused.
@@ -154,7 +156,7 @@
 	case relay.ActionReturn:
 		w.out.Add(append(w.out.Next(), p.Datagram...), v.To)
 	case relay.ActionQueue:
-		if w.admission.Wait(p, now) {
+		if w.wait(p, now) {
 			w.counters.verdicts[relay.ReasonQueueFull].Inc(1)
 		}
 	case relay.ActionReset:
@@ -295,11 +297,11 @@
 func (a *Agent) Run(ctx context.Context) error {
 	peers := &worker{
 		process: a.process, in: a.packets, out: wire.NewWriteQueue(a.packets, batchSize), host: a.toHost,
-		admission: a.decisions.Admission, decide: a.decisions.FromPeer, refused: a.decisions.HostRefused,
+		admission: a.decisions.Admission, wait: a.decisions.Wait, decide: a.decisions.FromPeer, refused: a.decisions.HostRefused,
 	}
 	host := &worker{
 		process: a.process, in: a.fromHost, out: wire.NewWriteQueue(a.packets, batchSize), host: a.toHost,
-		admission: a.decisions.Admission, decide: a.decisions.FromHost, refused: a.decisions.HostRefused, fromHost: true,
+		admission: a.decisions.Admission, wait: a.decisions.Wait, decide: a.decisions.FromHost, refused: a.decisions.HostRefused, fromHost: true,
 	}
 	defer func() { _ = a.toHost.Close() }() // nothing is pending on a datagram socket
 	return a.run(ctx, replayers{caller: peers.copy(), host: host.copy()}, peers, host)
