Log openings that leave the agent's queue

Cause: the page for on-call engineers tells to look for a "deliver packet" line after "queue opening", but none was written: the queue handed openings to the host without a decision line, and dropped the oldest one with a counter only.

Change: both are verdicts now, with the reasons slot_free (and the time that the opening waited) and queue_full. TestWaitingOpeningsAreLogged failed to compile before; the lines did not exist.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -297,15 +297,15 @@
 
 // Wait keeps an opening until a slot is free or its caller gives up; since is
 // when its request began, now or earlier. When too many wait, the oldest one is
-// dropped, which Wait reports. It is not refused: its caller may have opened the
-// flow with another copy, and one that is refused under overload only comes back
-// at once, as a new opening.
-func (a *Admission) Wait(p *Packet, since, now int64) (dropped bool) {
+// dropped; its datagram is the result, or nil. It is not refused: its caller may
+// have opened the flow with another copy, and one that is refused under overload
+// only comes back at once, as a new opening.
+func (a *Admission) Wait(p *Packet, since, now int64) (dropped []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for i := range a.waiting {
 		if a.waiting[i].key == p.Key {
-			return false // a later copy of an opening that waits
+			return nil // a later copy of an opening that waits
 		}
 	}
 	age := int64(openingAge(p.Copy()))
@@ -313,10 +313,11 @@
 	at, _ := slices.BinarySearchFunc(a.waiting, w.since+1, func(x waiting, since int64) int { return cmp.Compare(x.since, since) })
 	a.waiting = slices.Insert(a.waiting, at, w)
 	if len(a.waiting) <= a.slots*waitingPerSlot {
-		return false
+		return nil
 	}
+	dropped = a.waiting[0].datagram
 	a.waiting = append(a.waiting[:0], a.waiting[1:]...)
-	return true
+	return dropped
 }
 
 // Next returns the newest opening that waits when the host may get one more, or
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -78,10 +78,10 @@
 	a.SetSlots(1)
 	now := int64(time.Hour)
 	for i := range waitingPerSlot {
-		c.Assert(a.Wait(&Packet{Key: flowKey(i), Datagram: []byte{byte(i)}}, now, now), qt.IsFalse)
-		c.Assert(a.Wait(&Packet{Key: flowKey(i), Datagram: []byte{byte(i)}}, now, now), qt.IsFalse)
+		c.Assert(a.Wait(&Packet{Key: flowKey(i), Datagram: []byte{byte(i)}}, now, now), qt.IsNil)
+		c.Assert(a.Wait(&Packet{Key: flowKey(i), Datagram: []byte{byte(i)}}, now, now), qt.IsNil)
 	}
-	c.Check(a.Wait(&Packet{Key: flowKey(99), Datagram: []byte{99}}, now, now), qt.IsTrue)
+	c.Check(a.Wait(&Packet{Key: flowKey(99), Datagram: []byte{99}}, now, now), qt.DeepEquals, []byte{0})
 	newest, waited := a.Next(now + int64(time.Second))
 	c.Check(newest, qt.DeepEquals, []byte{99})
 	c.Check(waited, qt.Equals, time.Second)
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -139,9 +139,9 @@
 	return a.passOn(p, note, now)
 }
 
-// Wait keeps an opening until the host has room; it reports whether it dropped
-// the oldest one that waits.
-func (a *Agent) Wait(p *Packet, now int64) (dropped bool) {
+// Wait keeps an opening until the host has room. It returns the datagram of the
+// oldest one that waits when that had to be dropped, or nil.
+func (a *Agent) Wait(p *Packet, now int64) (dropped []byte) {
 	return a.Admission.Wait(p, a.returning.since(p, now), now)
 }
 
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -76,6 +76,7 @@
 	ReasonHostBusy     Reason = "host_busy"
 	ReasonOtherOpening Reason = "opened_at_another_host"
 	ReasonQueueFull    Reason = "queue_full"
+	ReasonSlotFree     Reason = "slot_free"
 	ReasonAside        Reason = "copy_for_doubtful_member"
 )
 
@@ -83,7 +84,7 @@
 var Reasons = []Reason{
 	ReasonCandidate, ReasonPassedOn, ReasonOwnHost, ReasonAnswer, ReasonNoView, ReasonNoRoute, ReasonStaleNoRoute,
 	ReasonNoTarget, ReasonNobody, ReasonAllRefused, ReasonUnfinished, ReasonUnconfirmed,
-	ReasonOldView, ReasonHostBusy, ReasonOtherOpening, ReasonQueueFull, ReasonAside,
+	ReasonOldView, ReasonHostBusy, ReasonOtherOpening, ReasonQueueFull, ReasonSlotFree, ReasonAside,
 }
 
 // Verdict is the decision on one packet.
@@ -94,6 +95,8 @@
 	Note   Note
 	// Member is the target that a forwarded packet goes to.
 	Member *catalog.Member
+	// Waited is how long the opening was in Agent.Admission.
+	Waited time.Duration
 	// Aside are members that may be gone but may have the flow; each gets a
 	// copy with the note AsideNote.
 	Aside []*catalog.Member
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -68,7 +68,7 @@
 	packet    relay.Packet
 	admission *relay.Admission // nil in an entry
 	// wait keeps an opening until the host has room.
-	wait func(p *relay.Packet, now int64) (dropped bool)
+	wait func(p *relay.Packet, now int64) (dropped []byte)
 	// decide is the role's decision on a packet of this socket.
 	decide func(p *relay.Packet, now int64) relay.Verdict
 	// refused decides on a packet that the host's address refused.
@@ -129,7 +129,9 @@
 		if err := w.adapter.Packets.Parse(datagram, &w.packet); err != nil {
 			continue // it was parsed when it was queued
 		}
-		w.deliver(&w.packet, relay.DecodeNote(w.packet.Note), now)
+		w.perform(&w.packet, relay.Verdict{
+			Action: relay.ActionDeliver, Reason: relay.ReasonSlotFree, Note: relay.DecodeNote(w.packet.Note), Waited: waited,
+		}, now)
 	}
 }
 
@@ -156,8 +158,8 @@
 	case relay.ActionReturn:
 		w.out.Add(append(w.out.Next(), p.Datagram...), v.To)
 	case relay.ActionQueue:
-		if w.wait(p, now) {
-			w.counters.verdicts[relay.ReasonQueueFull].Inc(1)
+		if dropped := w.wait(p, now); dropped != nil && w.adapter.Packets.Parse(dropped, p) == nil {
+			w.perform(p, relay.Verdict{Action: relay.ActionDrop, Reason: relay.ReasonQueueFull}, now)
 		}
 	case relay.ActionReset:
 		w.out.Add(w.adapter.Packets.AppendReset(w.out.Next(), p), v.To)
@@ -218,6 +220,9 @@
 	if w.admission != nil && p.IsOpening() {
 		fields = append(fields, zap.Int("busy", w.admission.Busy()))
 	}
+	if v.Waited > 0 {
+		fields = append(fields, zap.Duration("waited", v.Waited))
+	}
 	if v.Member != nil {
 		fields = append(fields, zap.String("target", v.Member.Name))
 	}
--- a/internal/relaynode/worker_test.go
+++ b/internal/relaynode/worker_test.go
@@ -1,6 +1,7 @@
 package relaynode
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/netip"
@@ -57,3 +58,39 @@
 	c.Assert(held, qt.HasLen, 1)
 	c.Check(held[0].datagram, qt.DeepEquals, sent.Encode())
 }
+
+// Guards against openings that vanish from the log once they wait: one line
+// tells that a slot became free and how long the opening waited, and one that
+// it was dropped because newer ones wait.
+func TestWaitingOpeningsAreLogged(t *testing.T) {
+	c := qt.New(t)
+	host, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = host.Close() }()
+	toHost, err := net.DialUDP("udp4", nil, host.LocalAddr().(*net.UDPAddr))
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = toHost.Close() }()
+	var lines bytes.Buffer
+	log := logging.New(&lines)
+	p := &process{
+		adapter: Adapter{Packets: platform.Packets{}}, log: log, core: relay.NewCore(1),
+		counters: newCounters(tally.NoopScope), held: newHeldPackets(),
+	}
+	agent, err := relay.NewAgent(p.core, netip.MustParseAddr("10.1.0.10"), "dc-1", "booking")
+	c.Assert(err, qt.IsNil)
+	agent.Admission.SetSlots(1)
+	w := &worker{process: p, host: toHost, admission: agent.Admission, wait: agent.Wait}
+	const most = 16 // openings that wait for one slot
+	for i := range most + 1 {
+		sent := platformtest.Packet{
+			Flags: platformtest.SYN, Src: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), uint16(1024+i)),
+			Dst: netip.MustParseAddrPort("198.18.0.1:443"),
+		}
+		c.Assert(p.adapter.Packets.Parse(sent.Encode(), &w.packet), qt.IsNil)
+		w.perform(&w.packet, relay.Verdict{Action: relay.ActionQueue, Reason: relay.ReasonHostBusy}, int64(i+1))
+	}
+	w.admit(int64(100 * time.Millisecond))
+	log.Close()
+	c.Check(lines.String(), qt.Matches, `(?s).*"msg":"drop packet",[^\n]*100.64.0.1:1024>[^\n]*"reason":"queue_full".*`)
+	c.Check(lines.String(), qt.Matches, `(?s).*"msg":"deliver packet",[^\n]*100.64.0.1:1040>[^\n]*"reason":"slot_free"[^\n]*"waited":0.0999.*`)
+}
