--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -189,8 +189,9 @@
 }
 
 // FlowOf returns the key of the flow in the caller's direction, for logs.
+// Openings and packets that the host returned are the caller's.
 func FlowOf(p *Packet, fromHost bool) packet.Key {
-	if fromHost && !p.Flags.Has(FlagReturned) {
+	if fromHost && !p.Flags.Has(FlagReturned) && !p.IsOpening() {
 		return p.Key.Reverse()
 	}
 	return p.Key
--- a/internal/relaynode/worker_test.go
+++ b/internal/relaynode/worker_test.go
@@ -89,8 +89,9 @@
 		c.Assert(p.adapter.Packets.Parse(sent.Encode(), &w.packet), qt.IsNil)
 		w.perform(&w.packet, relay.Verdict{Action: relay.ActionQueue, Reason: relay.ReasonHostBusy}, int64(i+1))
 	}
+	w.fromHost = true // the host's answers make room
 	w.admit(int64(100 * time.Millisecond))
 	log.Close()
 	c.Check(lines.String(), qt.Matches, `(?s).*"msg":"drop packet",[^\n]*100.64.0.1:1024>[^\n]*"reason":"queue_full".*`)
-	c.Check(lines.String(), qt.Matches, `(?s).*"msg":"deliver packet",[^\n]*100.64.0.1:1040>[^\n]*"reason":"slot_free"[^\n]*"waited":0.0999.*`)
+	c.Check(lines.String(), qt.Matches, `(?s).*"msg":"deliver packet",[^\n]*tcp 100.64.0.1:1040>[^\n]*"reason":"slot_free"[^\n]*"waited":0.0999.*`)
 }
