--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -321,7 +321,7 @@
 }
 
 // Next returns the newest opening that waits when the host may get one more, or
-// nil, and how long it has waited. The caller delivers it.
+// nil, and the time since its caller sent the first copy. The caller delivers it.
 func (a *Admission) Next(now int64) (datagram []byte, waited time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -95,7 +95,8 @@
 	Note   Note
 	// Member is the target that a forwarded packet goes to.
 	Member *catalog.Member
-	// Waited is how long the opening was in Agent.Admission.
+	// Waited is the time since the caller sent the first copy of an opening
+	// that was in Agent.Admission.
 	Waited time.Duration
 	// Aside are members that may be gone but may have the flow; each gets a
 	// copy with the note AsideNote.
