Make one piece of what stood twice; name retries and duplicates

From reading the whole change once more; behaviour, bounds and checks stay.

- The conversion of an address to a member id stood in exchange as well as in catalog, and waits that end with a context stood four times (exchange, platform, transport, demo); each has one place now.
The search order and the point from which a search goes on share their comparison.
- Views no longer carry what nobody reads: the host's start and cold time, idle timeout, health path, connections of a host.
The decoded records keep them.
- Dialect.ListPath loses its parameter for stale reads, which was always false.
- An "aside" is a duplicate, the memory of callers with lost flows is that of retries.
Three comments lose images.
- The load test of the admission limit keeps its queue as a list of requests instead of distinct times.

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -41,9 +41,6 @@
 	*bundle.Target
 	Host  netip.AddrPort
 	State State
-	Born  int64
-	// Cold is how much longer the host was slow when it registered.
-	Cold time.Duration
 }
 
 // Service is a service in a view.
@@ -51,9 +48,6 @@
 	*bundle.Service
 	// Check is a short hash of the name, for packets between processes.
 	Check uint8
-	// HealthPath is empty until a configuration names the service.
-	HealthPath     string
-	MaxConnections int
 	// members holds the service's members in the order of SearchOrder.
 	members []*Member
 }
@@ -75,7 +69,6 @@
 	Version uint64
 	// ConfigurationKnown is false until a configuration could be decoded.
 	ConfigurationKnown bool
-	IdleTimeout        time.Duration
 
 	order    *bundle.View
 	routes   map[netip.AddrPort]*RouteView
@@ -115,11 +108,14 @@
 	return v
 }
 
-// compareSearch orders members for searches; see RouteView.SearchOrder.
-func compareSearch(a, b *Member) int {
-	return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.ID, b.ID))
+// comparePlace compares the member's place in the search order with that of a
+// data centre and id; see RouteView.SearchOrder.
+func (m *Member) comparePlace(dataCentre string, id uint32) int {
+	return cmp.Or(cmp.Compare(m.DataCentre, dataCentre), cmp.Compare(m.ID, id))
 }
 
+func compareSearch(a, b *Member) int { return a.comparePlace(b.DataCentre, b.ID) }
+
 // collectMembers gathers the members of all services of the route.
 func (r *RouteView) collectMembers() {
 	if len(r.Services) == 1 {
@@ -194,8 +190,6 @@
 		},
 		Host:  t.Host,
 		State: state,
-		Born:  t.Born,
-		Cold:  t.Cold,
 	}
 	v.members[id] = m
 	s.Targets = append(s.Targets, m.Target)
@@ -204,11 +198,8 @@
 func (v *View) addConfiguration(c *Configuration) {
 	v.ConfigurationKnown = true
 	v.Version = c.Version
-	v.IdleTimeout = c.IdleTimeout
 	for _, settings := range c.Services {
-		s := v.service(settings.Name)
-		s.HealthPath = settings.HealthPath
-		s.MaxConnections = settings.MaxConnections
+		v.service(settings.Name)
 	}
 	for _, r := range c.Routes {
 		view := &RouteView{Name: r.Name}
@@ -288,12 +279,8 @@
 // SearchAfter returns the index of the first member that comes after the one
 // with the data centre and id, which need not be among them.
 func SearchAfter(members []*Member, dataCentre string, id uint32) int {
-	type place struct {
-		dataCentre string
-		id         uint32
-	}
-	at, known := slices.BinarySearchFunc(members, place{dataCentre, id}, func(m *Member, own place) int {
-		return cmp.Or(cmp.Compare(m.DataCentre, own.dataCentre), cmp.Compare(m.ID, own.id))
+	at, known := slices.BinarySearchFunc(members, id, func(m *Member, id uint32) int {
+		return m.comparePlace(dataCentre, id)
 	})
 	if known {
 		at++
@@ -343,3 +330,10 @@
 
 // ServiceCheck returns the short hash of a service's name.
 func ServiceCheck(name string) uint8 { return uint8(xxhash.Sum64String(name)) }
+
+// MemberAddress is the inverse of MemberID for IPv4 addresses.
+func MemberAddress(id uint32) netip.Addr {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], id)
+	return netip.AddrFrom4(b)
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/heathergw/heathergw/internal/standin"
+	"github.com/heathergw/heathergw/internal/wait"
 	"github.com/heathergw/heathergw/schema"
 )
 
@@ -156,18 +157,18 @@
 // rolled bundle was in force everywhere.
 func (d *demo) steps(ctx context.Context) (time.Duration, error) {
 	pause := d.options.Duration / 4
-	if err := sleep(ctx, pause); err != nil {
+	if err := wait.For(ctx, pause); err != nil {
 		return 0, err
 	}
 	d.progress("entry %s is killed", d.nodes[0].name)
 	d.nodes[0].kill()
 	d.fleet.Fabric.KillEntry(standin.FabricAddress(d.fleet.Entries[0]), fabricLag)
-	if err := sleep(ctx, pause); err != nil {
+	if err := wait.For(ctx, pause); err != nil {
 		return 0, err
 	}
 	d.progress("host %s drains", d.fleet.Agents[0].GetName())
 	d.fleet.Hosts[0].Drain()
-	if err := sleep(ctx, pause); err != nil {
+	if err := wait.For(ctx, pause); err != nil {
 		return 0, err
 	}
 	rolled := time.Now()
@@ -182,7 +183,7 @@
 	}
 	inForce := time.Since(rolled)
 	d.progress("bundle %d is in force everywhere after %v", sequence, inForce.Round(time.Millisecond))
-	return inForce, sleep(ctx, max(0, pause-inForce))
+	return inForce, wait.For(ctx, max(0, pause-inForce))
 }
 
 func drainSecondTarget(b *schema.Bundle) {
@@ -196,12 +197,3 @@
 	since := time.Since(d.begun).Round(10 * time.Millisecond)
 	_, _ = fmt.Fprintf(d.options.Out, "%7v  %s\n", since, fmt.Sprintf(format, args...))
 }
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(duration):
-		return nil
-	}
-}
--- a/internal/demo/runner.go
+++ b/internal/demo/runner.go
@@ -11,6 +11,7 @@
 	"github.com/heathergw/heathergw/internal/agent"
 	"github.com/heathergw/heathergw/internal/entry"
 	"github.com/heathergw/heathergw/internal/node"
+	"github.com/heathergw/heathergw/internal/wait"
 	"github.com/heathergw/heathergw/schema"
 )
 
@@ -89,7 +90,7 @@
 		if time.Since(begun) > limit {
 			return fmt.Errorf("%s has no bundle %d in force after %v", behind, sequence, limit)
 		}
-		if err := sleep(ctx, pollInterval); err != nil {
+		if err := wait.For(ctx, pollInterval); err != nil {
 			return err
 		}
 	}
--- a/internal/exchange/beats.go
+++ b/internal/exchange/beats.go
@@ -32,7 +32,7 @@
 			break
 		}
 		if p.entry && address.Is4() {
-			m.Entries = append(m.Entries, numberOf(address))
+			m.Entries = append(m.Entries, catalog.MemberID(address))
 		}
 	}
 	return m
@@ -158,7 +158,7 @@
 	probe.Probe = true
 	var to []netip.Addr
 	for _, id := range m.GetSilent() {
-		to = append(to, addressOf(id))
+		to = append(to, catalog.MemberAddress(id))
 	}
 	return probe, to
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -38,7 +38,7 @@
 	maxFanOut = 128
 	// relayPeers is the number of peers that a process passes a change to.
 	relayPeers = 2
-	// entryLifetime is how long an entry is known without a word of it.
+	// entryLifetime is how long an entry is kept without a message from it.
 	entryLifetime = 5 * time.Second
 	// maxEntriesTold bounds the addresses of entries in one datagram.
 	maxEntriesTold = 32
--- a/internal/exchange/news.go
+++ b/internal/exchange/news.go
@@ -79,14 +79,14 @@
 		p.readerAt = now
 	}
 	for _, number := range m.GetEntries() {
-		address := addressOf(number)
+		address := catalog.MemberAddress(number)
 		if address == d.duty.self {
 			continue
 		}
 		other := d.peer(address)
 		other.entry = true
 		if other.heardAt == 0 {
-			// Known from others only; it must speak for itself to stay.
+			// Learned from others; it is forgotten unless it sends a beat.
 			other.heardAt = now
 		}
 	}
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -181,15 +181,3 @@
 	setItems(m, d.catalog.Snapshot())
 	return m
 }
-
-// numberOf and addressOf convert IPv4 addresses for datagrams.
-func numberOf(a netip.Addr) uint32 {
-	b := a.As4()
-	return binary.BigEndian.Uint32(b[:])
-}
-
-func addressOf(number uint32) netip.Addr {
-	var b [4]byte
-	binary.BigEndian.PutUint32(b[:], number)
-	return netip.AddrFrom4(b)
-}
--- a/internal/exchange/reading.go
+++ b/internal/exchange/reading.go
@@ -11,6 +11,7 @@
 	"github.com/heathergw/heathergw/internal/catalog"
 	"github.com/heathergw/heathergw/internal/node"
 	"github.com/heathergw/heathergw/internal/platform"
+	"github.com/heathergw/heathergw/internal/wait"
 )
 
 // readStore reads the store while it is this process's duty.
@@ -21,7 +22,9 @@
 		due, reader, revision := d.readDue(node.Clock())
 		if !due {
 			retry = retryMin
-			sleep(ctx, readGap/2)
+			if wait.For(ctx, readGap/2) != nil {
+				return nil
+			}
 			continue
 		}
 		err := d.readOnce(ctx, d.store, list || revision == 0, revision, platform.StoreWait)
@@ -37,12 +40,16 @@
 			if reader {
 				limit = retryMaxReader
 			}
-			sleep(ctx, retry/2+rand.N(retry))
+			if wait.For(ctx, retry/2+rand.N(retry)) != nil {
+				return nil
+			}
 			retry = min(retry*2, limit)
 			continue
 		}
 		list, retry = false, retryMin
-		sleep(ctx, readGap)
+		if wait.For(ctx, readGap) != nil {
+			return nil
+		}
 	}
 	return nil
 }
@@ -156,7 +163,9 @@
 			retry = confirmGap
 			d.shareConfirmation()
 		}
-		sleep(ctx, retry)
+		if wait.For(ctx, retry) != nil {
+			return nil
+		}
 	}
 }
 
@@ -167,12 +176,3 @@
 	d.mu.Unlock()
 	d.sendAll(m, to)
 }
-
-func sleep(ctx context.Context, t time.Duration) {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,6 +17,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
+
+	"github.com/heathergw/heathergw/internal/wait"
 )
 
 // MaxValueBytes is the largest value that the configuration service holds.
@@ -153,7 +155,7 @@
 		// may not reach for a long time.
 		index, failed = 0, true
 		deliver(update)
-		if !sleep(ctx, retry.NextBackOff()) {
+		if wait.For(ctx, retry.NextBackOff()) != nil {
 			return
 		}
 	}
@@ -250,14 +252,3 @@
 	}
 	return u.String()
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -46,7 +46,7 @@
 
 // Dialect is the form of a store's calls. Paths include the query.
 type Dialect interface {
-	ListPath(afterKey string, stale bool) string
+	ListPath(afterKey string) string
 	WatchPath(after uint64, wait time.Duration) string
 	// Decode reads an answer. The error is ErrHistoryLost, a *StatusError, or
 	// names the field that cannot be used.
@@ -73,7 +73,7 @@
 	var all Answer
 	after := ""
 	for {
-		page, err := s.call(ctx, s.dialect.ListPath(after, false), s.timeout)
+		page, err := s.call(ctx, s.dialect.ListPath(after), s.timeout)
 		if err != nil {
 			return Answer{}, fmt.Errorf("list: %w", err)
 		}
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -64,9 +64,9 @@
 	ended bool
 	at    int64
 	// since is when the flow became busy, asked when the caller's data came;
-	// asking is set from then until the answer, alone when a slot was free.
-	since, asked  int64
-	asking, alone bool
+	// asking is set from then until the answer, direct when a slot was free.
+	since, asked   int64
+	asking, direct bool
 }
 
 // waiting is an opening that waits for a free slot.
@@ -191,7 +191,7 @@
 		a.setBusy(f, true)
 	}
 	if p.Length > 0 && f.busy && !f.asking {
-		f.asked, f.asking, f.alone = now, true, a.requests < a.slots
+		f.asked, f.asking, f.direct = now, true, a.requests < a.slots
 		a.requests++
 		if !f.opened && f.answered {
 			a.handshake.add(time.Duration(now - f.since))
@@ -247,7 +247,7 @@
 		f.replied, f.done = true, p.Acknowledgment
 		f.ended = f.ended || p.Flags.Has(FlagFinishes)
 		took, answer = time.Duration(now-f.since), f.busy && p.Length > 0
-		if answer && f.alone {
+		if answer && f.direct {
 			a.work.add(time.Duration(now - f.asked))
 		}
 		a.setBusy(f, false)
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -227,7 +227,11 @@
 		ended bool
 	}
 	var events []event
-	var queue []int64
+	type request struct {
+		at   int64
+		flow int
+	}
+	var queue []request
 	var flows, running, answered int
 	var busy, wait time.Duration
 	open := func(now int64) {
@@ -242,7 +246,6 @@
 		busy += d
 		events = append(events, event{at: now + int64(d), flow: flow, ended: true})
 	}
-	waiting := map[int64]int{}
 	for now := int64(time.Hour); now < int64(time.Hour+duration); now += int64(time.Millisecond) {
 		for !a.Full(flowKey(flows), now) {
 			open(now)
@@ -259,8 +262,8 @@
 				answered++
 				running--
 				if len(queue) > 0 {
-					wait += time.Duration(now - queue[0])
-					begin(waiting[queue[0]], now)
+					wait += time.Duration(now - queue[0].at)
+					begin(queue[0].flow, now)
 					queue = queue[1:]
 				}
 				continue
@@ -270,12 +273,7 @@
 				begin(e.flow, now)
 				continue
 			}
-			at := now
-			for waiting[at] != 0 {
-				at++ // distinct keys of requests that came in the same moment
-			}
-			waiting[at] = e.flow
-			queue = append(queue, at)
+			queue = append(queue, request{now, e.flow})
 		}
 	}
 	return float64(busy) / float64(slots*duration), wait / time.Duration(answered)
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -30,8 +30,8 @@
 	// unowned holds when a packet of a flow was first returned by every
 	// candidate.
 	unowned *lru.Cache[packet.Key, int64]
-	// returning holds the callers whose flows were lost.
-	returning *returning
+	// retries holds the callers whose flows were lost.
+	retries *retries
 }
 
 // maxUnowned bounds the flows that wait for a reset: those of one host that
@@ -45,13 +45,13 @@
 	if err != nil {
 		return nil, err
 	}
-	returning, err := newReturning()
+	retries, err := newRetries()
 	if err != nil {
 		return nil, err
 	}
 	return &Agent{
 		Core: core, ID: catalog.MemberID(address), DataCentre: dataCentre, Check: catalog.ServiceCheck(service),
-		Admission: NewAdmission(), unowned: unowned, returning: returning,
+		Admission: NewAdmission(), unowned: unowned, retries: retries,
 	}, nil
 }
 
@@ -134,7 +134,7 @@
 	note := DecodeNote(p.Note)
 	note.Hops++
 	if note.Complete && !p.IsOpening() {
-		a.returning.lost(p, now)
+		a.retries.lost(p, now)
 	}
 	return a.passOn(p, note, now)
 }
@@ -142,7 +142,7 @@
 // Wait keeps an opening until the host has room. It returns the datagram of the
 // oldest one that waits when that had to be dropped, or nil.
 func (a *Agent) Wait(p *Packet, now int64) (dropped []byte) {
-	return a.Admission.Wait(p, a.returning.since(p, now), now)
+	return a.Admission.Wait(p, a.retries.since(p, now), now)
 }
 
 // hostAbsence is how long a host that refused a datagram is left alone. A host
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -77,14 +77,14 @@
 	ReasonOtherOpening Reason = "opened_at_another_host"
 	ReasonQueueFull    Reason = "queue_full"
 	ReasonSlotFree     Reason = "slot_free"
-	ReasonAside        Reason = "copy_for_doubtful_member"
+	ReasonDuplicate    Reason = "copy_for_doubtful_member"
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	ReasonCandidate, ReasonPassedOn, ReasonOwnHost, ReasonAnswer, ReasonNoView, ReasonNoRoute, ReasonStaleNoRoute,
 	ReasonNoTarget, ReasonNobody, ReasonAllRefused, ReasonUnfinished, ReasonUnconfirmed,
-	ReasonOldView, ReasonHostBusy, ReasonOtherOpening, ReasonQueueFull, ReasonSlotFree, ReasonAside,
+	ReasonOldView, ReasonHostBusy, ReasonOtherOpening, ReasonQueueFull, ReasonSlotFree, ReasonDuplicate,
 }
 
 // Verdict is the decision on one packet.
@@ -98,25 +98,25 @@
 	// Waited is the time since the caller sent the first copy of an opening
 	// that was in Agent.Admission.
 	Waited time.Duration
-	// Aside are members that may be gone but may have the flow; each gets a
-	// copy with the note AsideNote.
-	Aside []*catalog.Member
+	// Duplicates are members that may be gone but may have the flow; each gets
+	// a copy with the note DuplicateNote.
+	Duplicates []*catalog.Member
 }
 
-// maxAside bounds the copies of one packet.
-const maxAside = 3
+// maxDuplicates bounds the copies of one packet.
+const maxDuplicates = 3
 
-// AsideNote returns the note for the copies to the members of Aside.
-func (v *Verdict) AsideNote() Note {
+// DuplicateNote returns the note for the copies to the members of Duplicates.
+func (v *Verdict) DuplicateNote() Note {
 	n := v.Note
-	n.Aside, n.Probe = true, true
+	n.Duplicate, n.Probe = true, true
 	return n
 }
 
-// aside adds a member to those that get a copy.
-func (v *Verdict) aside(m *catalog.Member) {
-	if len(v.Aside) < maxAside {
-		v.Aside = append(v.Aside, m)
+// duplicate adds a member to those that get a copy.
+func (v *Verdict) duplicate(m *catalog.Member) {
+	if len(v.Duplicates) < maxDuplicates {
+		v.Duplicates = append(v.Duplicates, m)
 	}
 }
 
@@ -150,7 +150,7 @@
 // answer when it is back. A silent one gets a copy with each probe only.
 func (c *Core) ask(m *catalog.Member, v *Verdict, now int64) {
 	if c.Reach.Probe(m.ID, now) || !c.Reach.Silent(m.ID, now) {
-		v.aside(m)
+		v.duplicate(m)
 	}
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -44,8 +44,8 @@
 
 // first returns the first candidate that the packet may go to and is heard. A
 // candidate that may have the flow but leaves probes unanswered gets a copy.
-// When no member is heard the alarm is more likely false than true, so silence
-// is ignored; members that left are asked when no other is known.
+// When no member is heard, a fault of this process or its links is more likely
+// than one of all members, so silence is ignored; members that left are asked when no other is known.
 func (e Entry) first(candidates []*catalog.Member, p *Packet, v *Verdict, now int64) *catalog.Member {
 	opening := p.IsOpening()
 	slices.SortStableFunc(candidates, func(a, b *catalog.Member) int { return e.distance(a) - e.distance(b) })
@@ -58,7 +58,7 @@
 			e.ask(m, v, now)
 		}
 	}
-	v.Aside = nil
+	v.Duplicates = nil
 	for _, lapsed := range []bool{false, true} {
 		for _, m := range candidates {
 			if (m.State < catalog.Lapsed || lapsed) && eligible(m, opening, lapsed) {
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -28,10 +28,10 @@
 	agents   map[netip.Addr]*Agent
 	hosts    map[netip.Addr]*host
 	entry    Entry
-	// visited lists the hosts that got the last packet, aside the one that got
+	// visited lists the hosts that got the last packet, duplicate the one that got
 	// a copy and has its flow.
-	visited []netip.Addr
-	aside   netip.Addr
+	visited   []netip.Addr
+	duplicate netip.Addr
 }
 
 // host is a host beside an agent.
@@ -160,7 +160,7 @@
 		for _, core := range f.cores() {
 			core.Reach.Heard(agent.ID, f.now) // the agent answers probes
 		}
-		f.sendAside(p, v)
+		f.sendDuplicates(p, v)
 		p.Note = v.Note.Encode()
 		if v = agent.FromPeer(&p, f.now); v.Action != ActionDeliver {
 			continue
@@ -184,9 +184,9 @@
 	return netip.Addr{}, v
 }
 
-// sendAside plays the copies of a packet for members that may be gone.
-func (f *fleet) sendAside(p Packet, v Verdict) {
-	for _, m := range v.Aside {
+// sendDuplicates plays the copies of a packet for members that may be gone.
+func (f *fleet) sendDuplicates(p Packet, v Verdict) {
+	for _, m := range v.Duplicates {
 		agent := f.agents[m.Agent.Addr()]
 		if agent == nil || f.hosts[m.Agent.Addr()].absent {
 			continue
@@ -194,9 +194,9 @@
 		for _, core := range f.cores() {
 			core.Reach.Heard(agent.ID, f.now) // the agent answers probes
 		}
-		p.Note = v.AsideNote().Encode()
+		p.Note = v.DuplicateNote().Encode()
 		if f.hosts[m.Agent.Addr()].keeps(&p) {
-			f.aside = m.Agent.Addr()
+			f.duplicate = m.Agent.Addr()
 			continue
 		}
 		returned := p
@@ -372,7 +372,7 @@
 // Guards against a note that loses a field.
 func TestNoteRoundTrip(t *testing.T) {
 	c := qt.New(t)
-	for _, n := range []Note{{}, {Hops: 63}, {Hops: maxHops, Uncertain: true}, {Service: 255, Probe: true, Complete: true, Aside: true}, {Revision: noteRevisionMask, Hops: 255}, {Hops: 1, Service: 7, Probe: true, Uncertain: true}} {
+	for _, n := range []Note{{}, {Hops: 63}, {Hops: maxHops, Uncertain: true}, {Service: 255, Probe: true, Complete: true, Duplicate: true}, {Revision: noteRevisionMask, Hops: 255}, {Hops: 1, Service: 7, Probe: true, Uncertain: true}} {
 		c.Check(DecodeNote(n.Encode()), qt.Equals, n)
 	}
 }
--- a/internal/relay/note.go
+++ b/internal/relay/note.go
@@ -7,7 +7,7 @@
 	noteUncertainBit = 1 << 16
 	noteProbeBit     = 1 << 17
 	noteCompleteBit  = 1 << 18
-	noteAsideBit     = 1 << 19
+	noteDuplicateBit = 1 << 19
 	// noteRevisionShift places the low bits of a revision.
 	noteRevisionShift = 20
 	noteRevisionMask  = 1<<12 - 1
@@ -29,9 +29,9 @@
 	// Uncertain is set when a candidate was passed over that may have the flow,
 	// so that a complete round does not prove that nobody has it.
 	Uncertain bool
-	// Aside marks a copy for a member that may be gone. The search goes on
+	// Duplicate marks a copy for a member that may be gone. The search goes on
 	// without it, so that nobody passes the copy on.
-	Aside bool
+	Duplicate bool
 	// Probe asks the receiving agent to answer the sender.
 	Probe bool
 	// Revision holds the low bits of the newest revision that a process on the
@@ -51,8 +51,8 @@
 	if n.Probe {
 		v |= noteProbeBit
 	}
-	if n.Aside {
-		v |= noteAsideBit
+	if n.Duplicate {
+		v |= noteDuplicateBit
 	}
 	if n.Complete {
 		v |= noteCompleteBit
@@ -69,7 +69,7 @@
 		Uncertain: v&noteUncertainBit != 0,
 		Probe:     v&noteProbeBit != 0,
 		Complete:  v&noteCompleteBit != 0,
-		Aside:     v&noteAsideBit != 0,
+		Duplicate: v&noteDuplicateBit != 0,
 	}
 }
 
--- a/internal/relay/returning.go
+++ b/internal/relay/retries.go
@@ -10,27 +10,27 @@
 )
 
 const (
-	// returnTime is how long after the last packet of a lost flow its caller's
+	// retryTime is how long after the last packet of a lost flow its caller's
 	// next opening counts as the same request: the search, a few times 55 ms
 	// under load, and the 85 ms that callers take between a reset and an
 	// opening.
-	returnTime = 400 * time.Millisecond
-	// maxReturning bounds the callers that are remembered, one for each flow of
+	retryTime = 400 * time.Millisecond
+	// maxRetrying bounds the callers that are remembered, one for each flow of
 	// a host.
-	maxReturning = 2048
+	maxRetrying = 2048
 )
 
-// returning remembers when callers sent packets of flows that no host has. Such
-// a caller gets a reset and repeats its request on a new flow, whose opening
-// looks like that of a new request but is late already. It answers the load
-// after a loss of power: most callers return that way while the hosts have room
-// for the new requests only. It is safe for concurrent use.
-type returning struct {
+// retries remembers when callers sent packets of flows that no host has. Such a
+// caller gets a reset and retries its request on a new flow, whose opening looks
+// like that of a new request but is late already. It answers the load after a
+// loss of power: most openings are such retries while the hosts have room for
+// the new requests only. It is safe for concurrent use.
+type retries struct {
 	mu      sync.Mutex // guards callers
-	callers *lru.Cache[returningCaller, []lostFlow]
+	callers *lru.Cache[callerRoute, []lostFlow]
 }
 
-type returningCaller struct {
+type callerRoute struct {
 	caller      netip.Addr
 	destination netip.AddrPort
 }
@@ -41,22 +41,22 @@
 	first, last int64
 }
 
-func newReturning() (*returning, error) {
-	callers, err := lru.New[returningCaller, []lostFlow](maxReturning)
-	return &returning{callers: callers}, err
+func newRetries() (*retries, error) {
+	callers, err := lru.New[callerRoute, []lostFlow](maxRetrying)
+	return &retries{callers: callers}, err
 }
 
-func returningOf(p *Packet) returningCaller {
-	return returningCaller{p.Key.Source.Addr(), p.Key.Destination}
+func callerRouteOf(p *Packet) callerRoute {
+	return callerRoute{p.Key.Source.Addr(), p.Key.Destination}
 }
 
 // lost records a packet of a flow that its host does not have.
-func (r *returning) lost(p *Packet, now int64) {
+func (r *retries) lost(p *Packet, now int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	k := returningOf(p)
+	k := callerRouteOf(p)
 	flows, _ := r.callers.Get(k)
-	flows = slices.DeleteFunc(flows, func(f lostFlow) bool { return now-f.last > int64(returnTime) })
+	flows = slices.DeleteFunc(flows, func(f lostFlow) bool { return now-f.last > int64(retryTime) })
 	at := slices.IndexFunc(flows, func(f lostFlow) bool { return f.port == p.Key.Source.Port() })
 	if at < 0 {
 		flows = append(flows, lostFlow{port: p.Key.Source.Port(), first: now})
@@ -69,15 +69,15 @@
 // since returns when the request of an opening began, as far as this agent has
 // seen it: with the first packet of a lost flow of the same caller, or now.
 // Each lost flow counts for one opening.
-func (r *returning) since(p *Packet, now int64) int64 {
+func (r *retries) since(p *Packet, now int64) int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	k := returningOf(p)
+	k := callerRouteOf(p)
 	flows, known := r.callers.Get(k)
 	if !known {
 		return now
 	}
-	flows = slices.DeleteFunc(flows, func(f lostFlow) bool { return now-f.last > int64(returnTime) })
+	flows = slices.DeleteFunc(flows, func(f lostFlow) bool { return now-f.last > int64(retryTime) })
 	if len(flows) == 0 {
 		r.callers.Remove(k)
 		return now
--- a/internal/relay/returning_test.go
+++ b/internal/relay/retries_test.go
@@ -18,7 +18,7 @@
 // opening, a copy of its packet for no second one, and only for a while.
 func TestLostFlowCountsForOneOpening(t *testing.T) {
 	c := qt.New(t)
-	r, err := newReturning()
+	r, err := newRetries()
 	c.Assert(err, qt.IsNil)
 	now := int64(time.Hour)
 	opening := &Packet{Key: flowKey(1), Flags: FlagOpens}
@@ -31,7 +31,7 @@
 	c.Check(r.since(opening, now+10), qt.Equals, now+7)
 	c.Check(r.since(opening, now+10), qt.Equals, now+10)
 	r.lost(returnedData(1, 1024), now)
-	later := now + int64(returnTime) + 1
+	later := now + int64(retryTime) + 1
 	c.Check(r.since(opening, later), qt.Equals, later)
 }
 
@@ -93,10 +93,10 @@
 // Guards against slots that go to requests which are late already while new
 // ones wait: after a loss of power most openings come from callers whose flows
 // were reset.
-func TestNewCallersComeBeforeReturningOnes(t *testing.T) {
+func TestNewRequestsComeBeforeRetries(t *testing.T) {
 	c := qt.New(t)
 	before, after := afterLoss(t, false), afterLoss(t, true)
-	c.Logf("new callers in time: %.2f, %.2f when returning ones are known", before, after)
+	c.Logf("new callers in time: %.2f, %.2f when retries are known", before, after)
 	c.Check(after >= 0.95, qt.IsTrue, qt.Commentf("%.2f", after))
 	c.Check(before < after, qt.IsTrue, qt.Commentf("%.2f and %.2f", before, after))
 }
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -8,8 +8,8 @@
 
 // passOn sends a packet that the own host does not take to the next candidate.
 func (a *Agent) passOn(p *Packet, note Note, now int64) Verdict {
-	if note.Aside {
-		return drop(ReasonAside)
+	if note.Duplicate {
+		return drop(ReasonDuplicate)
 	}
 	v := a.View.Load()
 	route, verdict := a.routeOf(v, p, now)
@@ -26,7 +26,7 @@
 	m := a.next(v, route, p, &verdict, now)
 	if m == nil {
 		end := a.exhausted(p, verdict.Note, now)
-		end.Aside, end.Note = verdict.Aside, verdict.Note
+		end.Duplicates, end.Note = verdict.Duplicates, verdict.Note
 		return end
 	}
 	verdict.To, verdict.Member = m.Agent, m
--- a/internal/relay/search_test.go
+++ b/internal/relay/search_test.go
@@ -125,11 +125,11 @@
 	f.pass(ReachConfig.AnswerWait + 1)
 	p := Packet{Key: flowKey(1), Flags: FlagAcknowledges, Length: 10}
 	v := f.entry.FromCaller(&p, f.now)
-	f.c.Assert(v.Aside, qt.HasLen, 1)
-	f.c.Check(v.Aside[0].ID, qt.Equals, id)
+	f.c.Assert(v.Duplicates, qt.HasLen, 1)
+	f.c.Check(v.Duplicates[0].ID, qt.Equals, id)
 	f.c.Check(v.Member.ID, qt.Not(qt.Equals), id)
-	f.sendAside(p, v)
-	f.c.Check(f.aside, qt.Equals, owner)
+	f.sendDuplicates(p, v)
+	f.c.Check(f.duplicate, qt.Equals, owner)
 }
 
 // Guards against members that stay silent after they are back: nothing was sent
@@ -146,9 +146,9 @@
 			}
 		}
 		f.pass(ReachConfig.SilentProbeInterval)
-		f.aside = netip.Addr{}
+		f.duplicate = netip.Addr{}
 		at, v := f.data(client)
-		f.c.Assert(at == owner || f.aside == owner, qt.IsTrue, qt.Commentf("client %d: %s", client, v.Reason))
+		f.c.Assert(at == owner || f.duplicate == owner, qt.IsTrue, qt.Commentf("client %d: %s", client, v.Reason))
 		f.pass(openingHold)
 	}
 }
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -142,9 +142,9 @@
 	if p.Flags.Has(relay.FlagReturned) && v.Action != relay.ActionHold {
 		w.adapter.Packets.ClearReturned(p.Datagram)
 	}
-	if len(v.Aside) > 0 {
-		w.adapter.Packets.SetNote(p.Datagram, v.AsideNote().Encode())
-		for _, m := range v.Aside {
+	if len(v.Duplicates) > 0 {
+		w.adapter.Packets.SetNote(p.Datagram, v.DuplicateNote().Encode())
+		for _, m := range v.Duplicates {
 			c := append(w.out.Next(), p.Datagram...)
 			w.adapter.Packets.ClearReturned(c) // a held packet still carries the mark
 			w.out.Add(c, m.Agent)
--- a/internal/relaynode/worker_test.go
+++ b/internal/relaynode/worker_test.go
@@ -43,7 +43,7 @@
 	}
 	c.Assert(p.adapter.Packets.Parse(sent.Encode(), &w.packet), qt.IsNil)
 	member := &catalog.Member{Target: &bundle.Target{Agent: peer.LocalAddr().(*net.UDPAddr).AddrPort()}}
-	w.perform(&w.packet, relay.Verdict{Action: relay.ActionHold, Reason: relay.ReasonNoView, Aside: []*catalog.Member{member}}, 1)
+	w.perform(&w.packet, relay.Verdict{Action: relay.ActionHold, Reason: relay.ReasonNoView, Duplicates: []*catalog.Member{member}}, 1)
 	w.out.Flush()
 
 	c.Assert(peer.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
@@ -53,7 +53,7 @@
 	got, err := platformtest.Decode(buffer[:n])
 	c.Assert(err, qt.IsNil, qt.Commentf("the copy is as its sender wrote it"))
 	c.Check(got.Flags, qt.Equals, byte(platformtest.ACK))
-	c.Check(relay.DecodeNote(got.Echo).Aside, qt.IsTrue)
+	c.Check(relay.DecodeNote(got.Echo).Duplicate, qt.IsTrue)
 	held := p.held.take(1)
 	c.Assert(held, qt.HasLen, 1)
 	c.Check(held[0].datagram, qt.DeepEquals, sent.Encode())
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/heathergw/heathergw/internal/wait"
 	"github.com/heathergw/heathergw/schema"
 )
 
@@ -75,7 +76,7 @@
 			if !temporary(err) {
 				return fmt.Errorf("accept stream connection: %w", err)
 			}
-			pause(ctx, 50*time.Millisecond)
+			_ = wait.For(ctx, 50*time.Millisecond) // the loop looks at ctx
 			continue
 		}
 		s.wait.Go(func() {
@@ -153,12 +154,3 @@
 func temporary(err error) bool {
 	return !errors.Is(err, net.ErrClosed)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
