--- a/test/e2e/soak_faults_test.go
+++ b/test/e2e/soak_faults_test.go
@@ -162,15 +162,15 @@
 	}[kind])
 	switch kind {
 	case 0:
-		return func() { one.signalWhile(func() { one.restart(s.c, pause/2) }) }
+		return func() { one.exclusively(func() { one.restart(s.c, pause/2) }) }
 	case 1:
 		return func() { s.restartAll(some, pause/2) }
 	case 2:
-		return func() { one.signalWhile(func() { one.pause(pause) }) }
+		return func() { one.exclusively(func() { one.pause(pause) }) }
 	case 3:
-		return func() { one.signalWhile(func() { one.terminate(s.c) }) }
+		return func() { one.exclusively(func() { one.terminate(s.c) }) }
 	case 4:
-		return func() { one.signalWhile(func() { one.signal(syscall.SIGHUP) }) }
+		return func() { one.exclusively(func() { one.signal(syscall.SIGHUP) }) }
 	case 5:
 		return func() { s.storeOutage(storeFault, outage) }
 	case 6:
@@ -190,7 +190,7 @@
 	var all sync.WaitGroup
 	for _, i := range some {
 		p := s.processes[i]
-		all.Go(func() { p.signalWhile(func() { p.restart(s.c, down) }) })
+		all.Go(func() { p.exclusively(func() { p.restart(s.c, down) }) })
 	}
 	all.Wait()
 }
--- a/test/e2e/soak_promises_test.go
+++ b/test/e2e/soak_promises_test.go
@@ -146,7 +146,7 @@
 func (s *soak) report(t *testing.T) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.Logf("served %d, failed %d, %d events, %d openings of routes", s.served, s.failed, len(s.events), len(s.runs))
+	t.Logf("served %d, failed %d, %d events, %d distinct requests ran", s.served, s.failed, len(s.events), len(s.runs))
 	if len(s.violations) == 0 {
 		return
 	}
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -302,8 +302,8 @@
 	s.events = append(s.events, fmt.Sprintf("%6.3f s ", time.Since(began).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// signalWhile sends a signal to a process that no other fault changes.
-func (p *soakProcess) signalWhile(change func()) {
+// exclusively changes a process unless another fault does so now.
+func (p *soakProcess) exclusively(change func()) {
 	if p.busy.TryLock() {
 		defer p.busy.Unlock()
 		change()
