Accept acknowledgments of segments that a restarted agent did not see

A restarted agent adopts a flow from the first segment its host sends. That is often a retransmission of the first unacknowledged segment, while the client has received later ones. Their acknowledgment lies above what the agent has seen, so it was taken for a packet of another connection and dropped for want of an owner; the host retransmitted the same segment until the client gave up. Ruled out: the probe of the host, owner queries and half-open flows, by reading each path. Change: an adopted flow accepts acknowledgments up to adoptedAckWindow above the host's last segment. A removed target redirects openings past silent candidates. host_killed: the client took the SYN-ACK of a host that was killed before the acknowledgment reached it; the test counted this as a flow at a healthy host.

--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -77,14 +77,25 @@
 }
 
 // redirectToAnyCandidate redirects an opening that arrived at a target outside
-// the bundle to the first candidate that is not draining and was not visited.
+// the bundle to the first candidate that is not draining and was not visited,
+// preferably to one that is not silent. When all are silent, this agent is more
+// likely cut off than all of them.
 func (a *Agent) redirectToAnyCandidate(e *event, address *bundle.Address, candidates []*bundle.Target, out *Actions) {
+	var silent *bundle.Target
 	for _, t := range candidates {
-		if !t.Draining && !e.header.HasVisited(t.ID) {
+		switch {
+		case t.Draining || e.header.HasVisited(t.ID):
+		case !a.silent(t.ID, e.now):
 			a.redirect(e, t, false, out)
 			return
+		case silent == nil:
+			silent = t
 		}
 	}
+	if silent != nil {
+		a.redirect(e, silent, false, out)
+		return
+	}
 	a.refuse(e, address, out)
 }
 
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -35,8 +35,9 @@
 	// maxWindow: an acknowledgment number further behind than this is outside
 	// every TCP window (RFC 7323 limits windows to 2^30 bytes).
 	maxWindow = 1 << 30
-	// adoptedAckWindow is how far below the host's sequence number an adopted
-	// flow accepts acknowledgment numbers. Receive buffers of clients are smaller.
+	// adoptedAckWindow is how far below and above the host's sequence number an
+	// adopted flow accepts acknowledgment numbers. Receive buffers of clients are
+	// smaller.
 	adoptedAckWindow = 1 << 23
 )
 
@@ -52,6 +53,9 @@
 	// (low, high]. low starts at isn, the host's initial sequence number.
 	isnKnown       bool
 	isn, low, high uint32
+	// unseen is how far above high the host may have sent before this process
+	// started; 0 unless the flow was adopted.
+	unseen uint32
 	// clientNext is the client's next sequence number as acknowledged by the
 	// host; clientEnd is the end of the data delivered to the host.
 	clientNext, clientEnd    uint32
@@ -116,7 +120,7 @@
 // ackInRange implements the ISN rule: it reports whether an acknowledgment
 // number belongs to this connection of the host.
 func (r *record) ackInRange(ack uint32) bool {
-	return r.isnKnown && ack != r.low && ack-r.low <= r.high-r.low
+	return r.isnKnown && ack != r.low && ack-r.low <= r.high-r.low+r.unseen
 }
 
 // applyClientPacket updates the record from a client's packet and returns what
@@ -158,6 +162,7 @@
 	if r.stale {
 		r.stale, r.registrationEpoch = false, 0
 	}
+	r.raiseHigh(p.Ack)
 	end := p.SeqEnd()
 	if p.PayloadLen > 0 {
 		r.requestActive, r.hostPushed = true, false
@@ -267,7 +272,7 @@
 	if r.isnKnown && p.Seq == r.isn {
 		return
 	}
-	r.isnKnown, r.isn, r.low, r.high = true, p.Seq, p.Seq, p.Seq+1
+	r.isnKnown, r.isn, r.low, r.high, r.unseen = true, p.Seq, p.Seq, p.Seq+1, 0
 	r.clientNext, r.clientEnd = p.Ack, p.Ack
 	r.clientFIN, r.hostFIN, r.clientFINAcked, r.hostFINAcked = false, false, false, false
 	r.rstSeen, r.finished, r.endedByHost, r.requestActive = false, false, false, false
@@ -275,14 +280,19 @@
 	r.opened = r.lastPacket
 }
 
-func (r *record) applyHostSegment(p *packet.Packet) {
-	end := p.SeqEnd()
+// raiseHigh records that the host has sent everything before end.
+func (r *record) raiseHigh(end uint32) {
 	if seqAfter(end, r.high) {
 		r.high = end
 	}
 	if r.high-r.low > maxWindow {
 		r.low = r.high - maxWindow
 	}
+}
+
+func (r *record) applyHostSegment(p *packet.Packet) {
+	end := p.SeqEnd()
+	r.raiseHigh(end)
 	if p.Flags&packet.FlagACK != 0 && seqAfter(p.Ack, r.clientNext) {
 		r.clientNext = p.Ack
 	}
@@ -314,7 +324,7 @@
 	r.state, r.isnKnown = open, true
 	r.high = p.SeqEnd()
 	r.low = r.high - adoptedAckWindow
-	r.isn = r.low
+	r.isn, r.unseen = r.low, adoptedAckWindow
 	r.clientNext, r.clientEnd = p.Ack, p.Ack
 	r.applyHostSegment(p)
 }
--- a/internal/standin/clientflow.go
+++ b/internal/standin/clientflow.go
@@ -229,7 +229,7 @@
 	case Unopened:
 		ledger.count(func(r *Report) *int { return &r.FlowsUnopened }, "%s: %s", f.tcp.key, reason)
 	case Broken:
-		ledger.flowBroken(f.tcp.key, reason)
+		ledger.flowBroken(FlowIdentity{f.tcp.key, f.tcp.irs}, reason)
 		f.tcp.abort()
 	}
 	close(f.done)
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -56,7 +56,7 @@
 	ran      map[attempt]bool
 	refused  map[attempt]bool
 	load     map[uint32]serviceLoad
-	broken   []packet.Key
+	broken   []FlowIdentity
 	events   []string
 	lastID   uint64
 }
@@ -118,19 +118,26 @@
 	}
 }
 
-// BrokenFlows returns the keys of the broken flows.
-func (l *Ledger) BrokenFlows() []packet.Key {
+// FlowIdentity tells a connection from others with the same addresses and ports.
+type FlowIdentity struct {
+	Key packet.Key
+	// HostISN is the initial sequence number of the host that the client took.
+	HostISN uint32
+}
+
+// BrokenFlows returns the broken flows.
+func (l *Ledger) BrokenFlows() []FlowIdentity {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]packet.Key(nil), l.broken...)
+	return append([]FlowIdentity(nil), l.broken...)
 }
 
-func (l *Ledger) flowBroken(key packet.Key, reason string) {
+func (l *Ledger) flowBroken(f FlowIdentity, reason string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.report.FlowsBroken++
-	l.broken = append(l.broken, key)
-	l.addEvent("%s: %s", key, reason)
+	l.broken = append(l.broken, f)
+	l.addEvent("%s: %s", f.Key, reason)
 }
 
 func (l *Ledger) newRequestID() uint64 {
