Choose another port when the TCP port of a pair is in use; count only sent probes

Cause: with port 0 the kernel's UDP port may be in use for TCP (5 of 30 runs of TestNewNamesTheSetting failed beside 1,000 sockets). A suspicion ended for 50 ms with each new probe, because the wait began anew; a probe that the limit refused delayed the next one. ICMPv4 types 6 to 10 were taken as errors of a flow. TestFewProcessesCallTheStore read the age of a view after the call that it was to judge had made it fresh. Change: wire.ListenPair tries further ports for port 0 and serves both processes; the wait for an answer counts from the first unanswered probe; listed ICMP error types; the test takes the age of the sample before the call.

--- a/internal/exchange/directory_test.go
+++ b/internal/exchange/directory_test.go
@@ -165,17 +165,21 @@
 	// on a machine that is too busy to deliver heartbeats. A process that calls the
 	// store with a newer view counts as a reader.
 	const staleAge = 2 * time.Second
-	last, readers := map[*member]int64{}, map[*member]bool{}
+	// The response of a call makes the view fresh, so the age at the call is that of
+	// the view in the sample before.
+	last, lastAsOf, readers := map[*member]int64{}, map[*member]int64{}, map[*member]bool{}
 	for _, m := range all {
-		last[m] = storeCalls(m)
+		last[m], lastAsOf[m] = storeCalls(m), m.asOf.Load()
 	}
 	for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		for _, m := range all {
-			age := time.Duration(node.Clock() - m.asOf.Load())
+			asOf := m.asOf.Load()
 			if n := storeCalls(m); n > last[m] {
 				last[m] = n
+				age := time.Duration(node.Clock() - lastAsOf[m])
 				readers[m] = readers[m] || age < staleAge
 			}
+			lastAsOf[m] = asOf
 		}
 	}
 	c.Check(len(readers) >= 1, qt.IsTrue)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -148,14 +148,10 @@
 func New(s Settings, decode catalog.DecodeFunc, newStore func() *configstore.Store, log *logging.Log, scope tally.Scope,
 	publish func(Update), onHeartbeat func(netip.Addr),
 ) (*Directory, error) {
-	socket, err := wire.Listen(s.Listen.String())
+	socket, streams, err := wire.ListenPair(s.Listen.String())
 	if err != nil {
 		return nil, err
 	}
-	streams, err := net.Listen("tcp", s.Listen.String())
-	if err != nil {
-		return nil, errors.Join(err, socket.Close())
-	}
 	scope = scope.SubScope("exchange")
 	return &Directory{
 		settings: s, log: log, store: newStore(), confirmStore: newStore(), socket: socket, streams: streams, publish: publish, onHeartbeat: onHeartbeat,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,12 +102,7 @@
 }
 
 func (n *Node) openSockets(fleetKeys [][]byte) (err error) {
-	if n.Peers, err = wire.Listen(n.Settings.GetListen()); err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	// Streams use the same port as datagrams, so that one address identifies a
-	// process.
-	if n.streamListener, err = net.Listen("tcp", n.Peers.Address().String()); err != nil {
+	if n.Peers, n.streamListener, err = wire.ListenPair(n.Settings.GetListen()); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	if n.statusListener, err = listenStatus(n.Settings.GetStatusListen()); err != nil {
--- a/internal/packet/icmp.go
+++ b/internal/packet/icmp.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"net/netip"
+
+	"github.com/gopacket/gopacket/layers"
 )
 
 const (
@@ -14,14 +16,12 @@
 
 // parseICMPError sets the key of p from the packet that an ICMP error quotes. The
 // quoted packet was sent by the host to the client, so the key of the client's
-// packets is the reverse of its key. minimumType is the lowest type of the error
-// messages that concern a flow: 3 for ICMPv4, whose errors end at type 12, and 2 for
-// ICMPv6, whose errors end at type 127.
-func parseICMPError(message []byte, minimumType uint8, p *Packet) error {
+// packets is the reverse of its key. isError tells the types that quote a packet.
+func parseICMPError(message []byte, isError func(messageType uint8) bool, p *Packet) error {
 	if len(message) < icmpHeaderSize+ipv4HeaderSize {
 		return ErrTruncated
 	}
-	if message[0] < minimumType || (message[0] > 12 && minimumType == 3) || message[0] > 127 {
+	if !isError(message[0]) {
 		return ErrICMPNoFlow
 	}
 	key, err := quotedKey(message[icmpHeaderSize:])
@@ -33,6 +33,23 @@
 	return nil
 }
 
+// isICMPv4Error reports whether a message type quotes the packet that it is about.
+// Types 6 to 10 are unassigned, echo requests and router discovery.
+func isICMPv4Error(messageType uint8) bool {
+	switch messageType {
+	case layers.ICMPv4TypeDestinationUnreachable, layers.ICMPv4TypeSourceQuench, layers.ICMPv4TypeRedirect,
+		layers.ICMPv4TypeTimeExceeded, layers.ICMPv4TypeParameterProblem:
+		return true
+	}
+	return false
+}
+
+// isICMPv6Error reports whether a message is an error that hosts act on for open
+// connections; informational messages have types from 128.
+func isICMPv6Error(messageType uint8) bool {
+	return messageType >= layers.ICMPv6TypePacketTooBig && messageType < layers.ICMPv6TypeEchoRequest
+}
+
 // quotedKey returns the key of a quoted packet. It cannot use the decoders of Parser
 // because the packet may be truncated after its first 8 transport bytes (RFC 792).
 func quotedKey(b []byte) (Key, error) {
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -183,7 +183,7 @@
 	source, _ := netip.AddrFromSlice(parser.ip4.SrcIP)
 	destination, _ := netip.AddrFromSlice(parser.ip4.DstIP)
 	if parser.ip4.Protocol == layers.IPProtocolICMPv4 {
-		return parseICMPError(parser.ip4.Payload, layers.ICMPv4TypeDestinationUnreachable, p)
+		return parseICMPError(parser.ip4.Payload, isICMPv4Error, p)
 	}
 	return parser.parseTransport(uint8(parser.ip4.Protocol), source, destination, parser.ip4.Payload, p)
 }
@@ -201,7 +201,7 @@
 	source, _ := netip.AddrFromSlice(parser.ip6.SrcIP)
 	destination, _ := netip.AddrFromSlice(parser.ip6.DstIP)
 	if parser.ip6.NextHeader == layers.IPProtocolICMPv6 {
-		return parseICMPError(parser.ip6.Payload, layers.ICMPv6TypePacketTooBig, p)
+		return parseICMPError(parser.ip6.Payload, isICMPv6Error, p)
 	}
 	return parser.parseTransport(uint8(parser.ip6.NextHeader), source, destination, parser.ip6.Payload, p)
 }
--- a/internal/packet/packet_test.go
+++ b/internal/packet/packet_test.go
@@ -76,6 +76,24 @@
 	}
 }
 
+// Guards against messages that are no errors and are taken as errors of a flow:
+// types 6 to 10 of ICMPv4, such as echo requests and router advertisements.
+func TestInformationalICMPIsNoError(t *testing.T) {
+	c := qt.New(t)
+	var parser packet.Parser
+	k := keys[0]
+	reply := build(c, k.Reverse(), packet.FlagACK, make([]byte, 1400))
+	message, err := packet.TooBig(reply, netip.MustParseAddr(routerAddress(k)), 1200)
+	c.Assert(err, qt.IsNil)
+	errorTypes := map[byte]bool{3: true, 4: true, 5: true, 11: true, 12: true}
+	for messageType := range byte(20) {
+		message[20] = messageType // after an IPv4 header without options
+		var p packet.Packet
+		err := parser.Parse(message, &p)
+		c.Check(err == nil, qt.Equals, errorTypes[messageType], qt.Commentf("type %d: %v", messageType, err))
+	}
+}
+
 func routerAddress(k packet.Key) string {
 	if k.Source.Addr().Is4() {
 		return "203.0.113.9"
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -49,8 +49,10 @@
 }
 
 type targetState struct {
-	answeredAt       atomic.Int64
-	probedAt         atomic.Int64
+	answeredAt atomic.Int64
+	probedAt   atomic.Int64
+	// unansweredSince is when the first of the unanswered probes was sent.
+	unansweredSince  atomic.Int64
 	unansweredProbes atomic.Int32
 	// reportedAt is when a service peer last reported the target as
 	// unresponsive.
@@ -115,7 +117,7 @@
 
 // probeOverdue reports whether the answer to a probe of this process is overdue.
 func (s *targetState) probeOverdue(now int64, timeout time.Duration) bool {
-	return s.unansweredProbes.Load() > 0 && now-s.probedAt.Load() > int64(timeout)
+	return s.unansweredProbes.Load() > 0 && now-s.unansweredSince.Load() > int64(timeout)
 }
 
 // EachOverdue calls visit for each target with an overdue probe of this
@@ -144,9 +146,14 @@
 	if last != 0 && now-last < interval {
 		return false
 	}
-	if !s.probedAt.CompareAndSwap(last, now) || !t.allowProbe(now) {
+	// A probe that the limit refuses leaves the state unchanged, so that the next
+	// packet can carry it.
+	if !t.allowProbe(now) || !s.probedAt.CompareAndSwap(last, now) {
 		return false
 	}
+	if s.unansweredProbes.Load() == 0 {
+		s.unansweredSince.Store(now)
+	}
 	s.unansweredProbes.Add(1)
 	return true
 }
--- a/internal/wire/socket.go
+++ b/internal/wire/socket.go
@@ -1,9 +1,11 @@
 package wire
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"syscall"
 
 	"golang.org/x/net/ipv4"
 	"golang.org/x/net/ipv6"
@@ -57,6 +59,45 @@
 	return s, nil
 }
 
+// portAttempts bounds the ports that ListenPair tries for port 0. The kernel
+// chooses a port that is free for UDP; with many TCP connections it may be in use
+// for TCP.
+const portAttempts = 64
+
+// ListenPair opens a UDP socket and a TCP listener on the same port of an address,
+// so that one address identifies a process. For port 0 it chooses a port that is
+// free for both. The error names the address.
+func ListenPair(address string) (*Socket, net.Listener, error) {
+	return listenPair(address, net.Listen)
+}
+
+func listenPair(address string, listenTCP func(network, address string) (net.Listener, error)) (*Socket, net.Listener, error) {
+	attempts := 1
+	if requested, err := netip.ParseAddrPort(address); err == nil && requested.Port() == 0 {
+		attempts = portAttempts
+	}
+	var tried []*Socket // kept open so that the kernel chooses another port
+	defer func() {
+		for _, s := range tried {
+			_ = s.Close() // never used
+		}
+	}()
+	for {
+		socket, err := Listen(address)
+		if err != nil {
+			return nil, nil, err
+		}
+		listener, err := listenTCP("tcp", socket.Address().String())
+		if err == nil {
+			return socket, listener, nil
+		}
+		tried = append(tried, socket)
+		if len(tried) >= attempts || !errors.Is(err, syscall.EADDRINUSE) {
+			return nil, nil, err
+		}
+	}
+}
+
 // Address returns the local address.
 func (s *Socket) Address() netip.AddrPort {
 	return s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
