Eject hosts that are slow, break requests off or go down and up

Cause: a registered host got its share of new flows by hash however it did. Ways weighed: figures of all hosts in heartbeats, by which entries choose; health calls, which occupy slots and may be false; the agent alone. The agent knows its host first and needs no message, and an opening that no candidate wants stays at the last one, so that a service is never emptied. What it cannot do is compare hosts that were slow from the start. Change: package outlier judges the own host by its answers: four slow requests in a row against its own service time, two failures in a row or three of ten, or a crash with requests. An ejected host's agent passes openings on, for 1 s doubling up to 8 s; then it admits one each 0.1 s until three were answered. Ejections are logged with their figures and counted (host_ejections, host_state). The queue of openings is served when the number of slots becomes unknown, and a retry's age is no longer subtracted twice.

--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -22,10 +22,13 @@
 	minSlowTime = 40 * time.Millisecond
 	// minSamples is the number of requests before slowness can be judged.
 	minSamples = 16
-	// usualWeight and slowWeight are the divisors by which a usual and a slow request
-	// enter the average. Slow ones enter too, so that work that became longer is
-	// usual after some hundred requests.
-	usualWeight, slowWeight = 16, 256
+	// usualWeight is the divisor by which a request that is not slow enters the
+	// average service time.
+	usualWeight = 16
+	// relearnAfter is how long a host may stay slow until its service time counts as
+	// usual: its work has become longer. All hosts of a service would otherwise pass
+	// openings on for good.
+	relearnAfter = time.Minute
 	// failureWeight is the divisor by which the newest request enters the share of
 	// failed ones. A host is ejected above maxFailedShare: two failures in a row, or
 	// three among ten.
@@ -81,6 +84,8 @@
 	slow        int
 	failedShare float64
 
+	// slowSince is the first ejection for slowness since the host was healthy, or 0.
+	slowSince     int64
 	ejectedUntil  int64
 	ejectedFor    time.Duration
 	healthySince  int64
@@ -136,8 +141,7 @@
 		return
 	}
 	if d.trialAnswered++; d.trialAnswered >= trialRequests {
-		d.change(Healthy, "requests answered in the usual time", took)
-		d.healthySince = now
+		d.recover("requests answered in the usual time", took, now)
 	}
 }
 
@@ -171,18 +175,31 @@
 	switch {
 	case d.samples <= minSamples:
 		d.usual += (took - d.usual) / time.Duration(d.samples)
-	case slow:
-		d.usual += (took - d.usual) / slowWeight
-	default:
+	case !slow:
 		d.usual += (took - d.usual) / usualWeight
 	}
 }
 
 func (d *Detector) addSlow(took time.Duration, now int64) {
 	d.slow++
-	if d.state == Trial || d.slow >= slowStreak {
-		d.eject("slow against its usual service time", took, now)
+	if d.state == Ejected || d.state == Healthy && d.slow < slowStreak {
+		return
+	}
+	if d.slowSince == 0 {
+		d.slowSince = now
+	}
+	if time.Duration(now-d.slowSince) >= relearnAfter {
+		d.samples, d.slow = 0, 0
+		d.recover("slow for long: learning its service time anew", took, now)
+		return
 	}
+	d.eject("slow against its usual service time", took, now)
+}
+
+// recover makes the host healthy.
+func (d *Detector) recover(reason string, last time.Duration, now int64) {
+	d.change(Healthy, reason, last)
+	d.healthySince, d.slowSince = now, 0
 }
 
 // eject ejects the host. Requests that began before an ejection do not lengthen it.
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/heathergw/heathergw/internal/outlier"
 	"github.com/heathergw/heathergw/internal/packet"
 )
 
@@ -60,6 +61,9 @@
 	// is its sequence number.
 	halfOpen, answeredOpening bool
 	hostInitialSequence       uint32
+	// hostNext is the sequence number that follows all data seen from the host. It
+	// is valid once answeredOpening is set.
+	hostNext uint32
 	// answeredUpTo is the client's sequence number up to which the host has
 	// responded: data before it is a retransmission. It is valid once
 	// answeredData is set.
@@ -73,6 +77,8 @@
 	// slotWasFree is set when a slot was free at requestAt.
 	busySince, requestAt        int64
 	requestPending, slotWasFree bool
+	// overdue is set once health counted the pending request as slow.
+	overdue bool
 }
 
 // queuedOpening is an opening that waits for a free slot.
@@ -116,8 +122,10 @@
 	// handshakeTime is the time from an opening to its first data, serviceTime
 	// the time from a request that found a free slot to its response.
 	handshakeTime, serviceTime movingAverage
-	queue                      []queuedOpening // by requestStart, oldest first
-	lastSweep                  int64
+	// health judges the host by its answers.
+	health    outlier.Detector
+	queue     []queuedOpening // by requestStart, oldest first
+	lastSweep int64
 }
 
 // NewAdmission returns an Admission without a limit; see SetSlots.
@@ -168,6 +176,36 @@
 	return a.slots > 0 && a.busy >= a.busyLimit() && a.flows[k] == nil
 }
 
+// Healthy reports whether the host should get an opening with key k that another
+// host could take. Flows that are already tracked stay.
+func (a *Admission) Healthy(k packet.Key, now int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sweep(now)
+	if a.flows[k] != nil {
+		return true
+	}
+	// Only a request that finds a free slot shows how the host does.
+	freeSlot := a.slots == 0 || a.busy < a.slots
+	return (freeSlot || a.health.State() == outlier.Healthy) && a.health.Admit(now)
+}
+
+// RecordHostDown records that nothing listens at the host's address.
+func (a *Admission) RecordHostDown(now int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pendingRequests > 0 {
+		a.health.Crashed(now)
+	}
+}
+
+// HealthChanges returns the changes of the host's health since the last call.
+func (a *Admission) HealthChanges() []outlier.Change {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.health.Changes()
+}
+
 // RecordDelivery records a packet that is delivered to the host.
 func (a *Admission) RecordDelivery(p *Packet, now int64) {
 	a.mu.Lock()
@@ -199,7 +237,7 @@
 		a.setBusy(f, true)
 	}
 	if p.Length > 0 && f.busy && !f.requestPending {
-		f.requestAt, f.requestPending, f.slotWasFree = now, true, a.pendingRequests < a.slots
+		f.requestAt, f.requestPending, f.slotWasFree, f.overdue = now, true, a.pendingRequests < a.slots, false
 		a.pendingRequests++
 		if !f.established && f.answeredOpening {
 			a.handshakeTime.add(time.Duration(now - f.busySince))
@@ -249,22 +287,61 @@
 	}
 	f.lastPacket = now
 	switch {
-	case p.Flags.Has(FlagReturned), p.Flags.Has(FlagRST):
+	case p.Flags.Has(FlagReturned):
+		a.forget(k, f)
+	case p.Flags.Has(FlagRST):
+		if f.requestPending {
+			a.health.Failed(now)
+		}
 		a.forget(k, f)
 	case p.Flags.Has(FlagSYN):
-		f.answeredOpening, f.hostInitialSequence = true, p.Sequence
+		f.answeredOpening, f.hostInitialSequence, f.hostNext = true, p.Sequence, p.Sequence+1
 	case p.Length > 0, p.Flags.Has(FlagFIN):
 		f.answeredData, f.answeredUpTo = true, p.Acknowledgment
 		f.closedByHost = f.closedByHost || p.Flags.Has(FlagFIN)
 		took, answer = time.Duration(now-f.busySince), f.busy && p.Length > 0
+		if f.requestPending {
+			a.judge(f, p, now)
+		}
 		if answer && f.slotWasFree {
 			a.serviceTime.add(time.Duration(now - f.requestAt))
 		}
+		f.hostNext = maxSequence(f.hostNext, p.Sequence+uint32(p.Length))
 		a.setBusy(f, false)
 	}
 	return took, answer
 }
 
+// slowAfter returns the time from which the flow's request counts as slow; limit is
+// that of a request that found a free slot. At most half as many requests as there
+// are slots wait at a host, so that the others take at most twice as long.
+func (f *flowState) slowAfter(limit time.Duration) time.Duration {
+	if f.slotWasFree {
+		return limit
+	}
+	return 2 * limit
+}
+
+// judge records how the host ended a pending request. A packet that closes the flow
+// may overtake the response, which its sequence number shows.
+func (a *Admission) judge(f *flowState, p *Packet, now int64) {
+	closedWithoutResponse := p.Length == 0 && f.answeredOpening && p.Sequence == f.hostNext
+	switch {
+	case closedWithoutResponse:
+		a.health.Failed(now)
+	case f.slotWasFree && !f.overdue:
+		a.health.Answered(time.Duration(now-f.requestAt), now)
+	}
+}
+
+// maxSequence returns the later of two sequence numbers.
+func maxSequence(x, y uint32) uint32 {
+	if int32(y-x) > 0 {
+		return y
+	}
+	return x
+}
+
 func (a *Admission) setBusy(f *flowState, busy bool) {
 	switch {
 	case busy && !f.busy:
@@ -292,8 +369,13 @@
 		return
 	}
 	a.lastSweep = now
+	slowAfter := a.health.SlowAfter()
 	for k, f := range a.flows {
 		idle := time.Duration(now - f.lastPacket)
+		if waited := time.Duration(now - f.requestAt); slowAfter > 0 && f.requestPending && !f.overdue && waited > f.slowAfter(slowAfter) {
+			f.overdue = true
+			a.health.Overdue(waited, now)
+		}
 		switch {
 		case idle > flowIdleTimeout, !f.established && idle > openingTimeout:
 			a.forget(k, f)
@@ -320,10 +402,10 @@
 		}
 	}
 	age := int64(openingAge(p.Attempt()))
-	w := queuedOpening{key: p.Key, datagram: append([]byte(nil), p.Datagram...), firstSent: now - age, requestStart: requestStart - age}
+	w := queuedOpening{key: p.Key, datagram: append([]byte(nil), p.Datagram...), firstSent: now - age, requestStart: min(requestStart, now-age)}
 	at, _ := slices.BinarySearchFunc(a.queue, w.requestStart+1, func(x queuedOpening, requestStart int64) int { return cmp.Compare(x.requestStart, requestStart) })
 	a.queue = slices.Insert(a.queue, at, w)
-	if len(a.queue) <= a.slots*queuedPerSlot {
+	if a.slots == 0 || len(a.queue) <= a.slots*queuedPerSlot {
 		return nil
 	}
 	dropped = a.queue[0].datagram
@@ -339,7 +421,7 @@
 	defer a.mu.Unlock()
 	a.sweep(now)
 	a.queue = slices.DeleteFunc(a.queue, func(w queuedOpening) bool { return now-w.firstSent >= int64(openingTimeout) })
-	if len(a.queue) == 0 || a.busy >= a.busyLimit() {
+	if len(a.queue) == 0 || a.slots > 0 && a.busy >= a.busyLimit() {
 		return nil, 0
 	}
 	last := len(a.queue) - 1
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/heathergw/heathergw/internal/outlier"
 )
 
 // TestAdmissionCountsRequestsOnce guards against leaked slots: retransmissions
@@ -300,3 +302,64 @@
 		}
 	}
 }
+
+// TestQueueWithoutLimitIsServed guards against openings that wait until their
+// clients give up because the number of slots became unknown meanwhile.
+func TestQueueWithoutLimitIsServed(t *testing.T) {
+	c := qt.New(t)
+	a := NewAdmission()
+	a.SetSlots(1)
+	now := int64(time.Hour)
+	for i := range 3 {
+		c.Assert(a.Enqueue(&Packet{Key: flowKey(i), Flags: FlagSYN, Datagram: []byte{byte(i)}}, now, now), qt.IsNil)
+	}
+	a.SetSlots(0)
+	c.Check(a.Enqueue(&Packet{Key: flowKey(3), Flags: FlagSYN, Datagram: []byte{3}}, now, now), qt.IsNil)
+	for range 4 {
+		datagram, _ := a.Dequeue(now + 1)
+		c.Check(datagram, qt.HasLen, 1)
+	}
+}
+
+// TestRetransmissionOfRetryKeepsRequestStart guards against an age that counts
+// twice: the start of a request that began on a lost flow does not depend on
+// which attempt of the new opening is queued.
+func TestRetransmissionOfRetryKeepsRequestStart(t *testing.T) {
+	c := qt.New(t)
+	a := NewAdmission()
+	a.SetSlots(2)
+	now := int64(time.Hour)
+	lost := now - int64(700*time.Millisecond)
+	older := now - int64(800*time.Millisecond)
+	a.Enqueue(&Packet{Key: flowKey(1), Flags: FlagSYN, Acknowledgment: 2, Datagram: []byte{1}}, lost, now)
+	a.Enqueue(&Packet{Key: flowKey(2), Flags: FlagSYN, Datagram: []byte{2}}, older, now)
+	datagram, _ := a.Dequeue(now + 1)
+	c.Check(datagram, qt.DeepEquals, []byte{1}, qt.Commentf("the request that began later comes first"))
+}
+
+// TestOvertakenResponseIsNoFailure guards against the ejection of a healthy host
+// whose closing packet overtakes its response, and against a host that closes flows
+// without a response and keeps its share of the openings.
+func TestOvertakenResponseIsNoFailure(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name     string
+		sequence uint32 // of the closing packet; the response would begin at 1
+		want     outlier.State
+	}{
+		{"overtaken", 601, outlier.Healthy},
+		{"without response", 1, outlier.Ejected},
+	} {
+		a := NewAdmission()
+		a.SetSlots(4)
+		now := int64(time.Hour)
+		for i := range 10 {
+			k := flowKey(i)
+			a.RecordDelivery(&Packet{Key: k, Flags: FlagSYN}, now)
+			a.RecordResponse(k, &Packet{Flags: FlagSYN | FlagACK, Sequence: 0}, now)
+			a.RecordDelivery(&Packet{Key: k, Flags: FlagACK, Length: 50}, now)
+			a.RecordResponse(k, &Packet{Flags: FlagFIN | FlagACK, Sequence: test.sequence, Acknowledgment: 50}, now)
+		}
+		c.Check(a.health.State(), qt.Equals, test.want, qt.Commentf("%s", test.name))
+	}
+}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -88,6 +88,12 @@
 	if !a.acceptsOpenings(v, now) {
 		return a.forwardNext(p, state, now)
 	}
+	if state.Hops < maxBusyRedirects && !a.Admission.Healthy(p.Key, now) {
+		if v := a.redirect(p, state, now); v.Action == ActionForward {
+			v.Reason = ReasonHostEjected
+			return v
+		}
+	}
 	if a.Admission.Full(p.Key, now) {
 		return a.redirectOrQueue(p, state, now)
 	}
@@ -104,9 +110,7 @@
 // candidates were tried or none is left.
 func (a *Agent) redirectOrQueue(p *Packet, state SearchState, now int64) Verdict {
 	if state.Hops < maxBusyRedirects {
-		next := state
-		next.Hops++
-		if v := a.forwardNext(p, next, now); v.Action == ActionForward {
+		if v := a.redirect(p, state, now); v.Action == ActionForward {
 			v.Reason = ReasonHostBusy
 			return v
 		}
@@ -114,6 +118,13 @@
 	return Verdict{Action: ActionQueue, Reason: ReasonHostBusy, State: state}
 }
 
+// redirect forwards an opening that the own host should not get to the next
+// candidate. The verdict is not ActionForward when none is left.
+func (a *Agent) redirect(p *Packet, state SearchState, now int64) Verdict {
+	state.Hops++
+	return a.forwardNext(p, state, now)
+}
+
 // acceptsOpenings reports whether the agent's own host may get new flows. A host
 // that is not in the view may get them too, because the sender knows a target at
 // its address.
@@ -156,6 +167,7 @@
 // at the host's address.
 func (a *Agent) HostRefused(p *Packet, now int64) Verdict {
 	a.HostDownUntil.Store(now + int64(hostDownTime))
+	a.Admission.RecordHostDown(now)
 	state := DecodeSearchState(p.Echo)
 	state.Hops++
 	return a.forwardNext(p, state, now)
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -77,6 +77,7 @@
 	ReasonUnconfirmed      Reason = "view_not_confirmed"
 	ReasonSenderNewerView  Reason = "sender_had_newer_view"
 	ReasonHostBusy         Reason = "host_busy"
+	ReasonHostEjected      Reason = "host_ejected"
 	ReasonOpenedElsewhere  Reason = "opened_at_another_host"
 	ReasonQueueFull        Reason = "queue_full"
 	ReasonSlotFree         Reason = "slot_free"
@@ -87,7 +88,7 @@
 var Reasons = []Reason{
 	ReasonFirstCandidate, ReasonForwarded, ReasonOwnHost, ReasonAnswer, ReasonNoView, ReasonNoRoute, ReasonStaleNoRoute,
 	ReasonNoTarget, ReasonNoOwner, ReasonAllRefused, ReasonSearchIncomplete, ReasonUnconfirmed,
-	ReasonSenderNewerView, ReasonHostBusy, ReasonOpenedElsewhere, ReasonQueueFull, ReasonSlotFree, ReasonDuplicate,
+	ReasonSenderNewerView, ReasonHostBusy, ReasonHostEjected, ReasonOpenedElsewhere, ReasonQueueFull, ReasonSlotFree, ReasonDuplicate,
 }
 
 // Verdict is the decision on one packet.
@@ -116,13 +117,6 @@
 	return state
 }
 
-// addDuplicate adds a member to Duplicates unless the limit is reached.
-func (v *Verdict) addDuplicate(m *catalog.Member) {
-	if len(v.Duplicates) < maxDuplicates {
-		v.Duplicates = append(v.Duplicates, m)
-	}
-}
-
 // Core holds the state behind the decisions of both entries and agents. It is
 // safe for concurrent use: the view is read through an atomic pointer and Reach
 // holds atomics.
@@ -155,8 +149,13 @@
 // so that it can answer when it is back. A silent member gets a duplicate only
 // when a probe is due.
 func (c *Core) probeWithDuplicate(m *catalog.Member, v *Verdict, now int64) {
+	// A probe counts as unanswered from here on, so only a packet that is sent may
+	// carry one.
+	if len(v.Duplicates) >= maxDuplicates {
+		return
+	}
 	if c.Reach.Probe(m.ID, now) || !c.Reach.Silent(m.ID, now) {
-		v.addDuplicate(m)
+		v.Duplicates = append(v.Duplicates, m)
 	}
 }
 
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -14,6 +14,7 @@
 
 	"github.com/heathergw/heathergw/internal/catalog"
 	"github.com/heathergw/heathergw/internal/node"
+	"github.com/heathergw/heathergw/internal/outlier"
 	"github.com/heathergw/heathergw/internal/relay"
 	"github.com/heathergw/heathergw/internal/wire"
 )
@@ -30,6 +31,10 @@
 	busy     tally.Gauge
 	hops     tally.Histogram
 	verdicts map[relay.Reason]tally.Counter
+	// hostEjections counts how often the host was ejected; hostState is 0 for a
+	// healthy host, 1 for an ejected one and 2 for one on trial.
+	hostEjections tally.Counter
+	hostState     tally.Gauge
 }
 
 // latencyBuckets range from a hop within a data centre to the longest deadline of
@@ -51,6 +56,9 @@
 		queueTime:    scope.Histogram("opening_wait", latencyBuckets),
 		hops:         scope.Histogram("candidates_passed", hopBuckets),
 		busy:         scope.Gauge("busy_requests"),
+
+		hostEjections: scope.Counter("host_ejections"),
+		hostState:     scope.Gauge("host_state"),
 	}
 	for _, r := range relay.Reasons {
 		c.verdicts[r] = scope.Tagged(map[string]string{"reason": string(r)}).Counter("packets")
@@ -121,6 +129,20 @@
 	w.execute(p, w.decide(p, now), now)
 	if w.admission != nil {
 		w.admit(now)
+		w.recordHealth()
+	}
+}
+
+// recordHealth logs and counts the changes of the host's health.
+func (w *worker) recordHealth() {
+	for _, change := range w.admission.HealthChanges() {
+		if change.To == outlier.Ejected {
+			w.counters.hostEjections.Inc(1)
+		}
+		w.counters.hostState.Update(float64(change.To))
+		w.log.Info("host health changed", zap.Stringer("from", change.From), zap.Stringer("to", change.To),
+			zap.String("reason", change.Reason), zap.Duration("usual", change.Usual), zap.Duration("last", change.Last),
+			zap.Float64("failed_share", change.FailedShare), zap.Duration("for", change.For))
 	}
 }
 
