--- a/internal/relaynode/malformed_test.go
+++ b/internal/relaynode/malformed_test.go
@@ -55,7 +55,7 @@
 		_ = agent.hostSocket.Close()
 		_ = agent.close()
 	})
-	view := testView(f, agent.packetSocket.Address().Port())
+	view := testView(agent.packetSocket.Address().Port())
 	for _, core := range []*relay.Core{entry.core, agent.core} {
 		core.View.Store(view)
 		core.AsOf.Store(int64(time.Hour))
@@ -74,7 +74,7 @@
 	return w
 }
 
-func testView(f *testing.F, agentPort uint16) *catalog.View {
+func testView(agentPort uint16) *catalog.View {
 	records := map[string]catalog.Record{"c": {Configuration: &catalog.Configuration{Version: 1, Routes: []catalog.Route{{
 		Name: "r", Destination: netip.MustParseAddrPort("198.18.0.1:443"), Services: []catalog.WeightedService{{Service: "booking", Weight: 1}},
 	}}}}}
