Move the judgement on the host out of the admission file

Change: hosthealth.go holds what Admission tells the detector; no statement changed but that the check for overdue requests became a function.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -176,36 +176,6 @@
 	return a.slots > 0 && a.busy >= a.busyLimit() && a.flows[k] == nil
 }
 
-// Healthy reports whether the host should get an opening with key k that another
-// host could take. Flows that are already tracked stay.
-func (a *Admission) Healthy(k packet.Key, now int64) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.sweep(now)
-	if a.flows[k] != nil {
-		return true
-	}
-	// Only a request that finds a free slot shows how the host does.
-	freeSlot := a.slots == 0 || a.busy < a.slots
-	return (freeSlot || a.health.State() == outlier.Healthy) && a.health.Admit(now)
-}
-
-// RecordHostDown records that nothing listens at the host's address.
-func (a *Admission) RecordHostDown(now int64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.pendingRequests > 0 {
-		a.health.Crashed(now)
-	}
-}
-
-// HealthChanges returns the changes of the host's health since the last call.
-func (a *Admission) HealthChanges() []outlier.Change {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.health.Changes()
-}
-
 // RecordDelivery records a packet that is delivered to the host.
 func (a *Admission) RecordDelivery(p *Packet, now int64) {
 	a.mu.Lock()
@@ -312,28 +282,6 @@
 	return took, answer
 }
 
-// slowAfter returns the time from which the flow's request counts as slow; limit is
-// that of a request that found a free slot. At most half as many requests as there
-// are slots wait at a host, so that the others take at most twice as long.
-func (f *flowState) slowAfter(limit time.Duration) time.Duration {
-	if f.slotWasFree {
-		return limit
-	}
-	return 2 * limit
-}
-
-// judge records how the host ended a pending request. A packet that closes the flow
-// may overtake the response, which its sequence number shows.
-func (a *Admission) judge(f *flowState, p *Packet, now int64) {
-	closedWithoutResponse := p.Length == 0 && f.answeredOpening && p.Sequence == f.hostNext
-	switch {
-	case closedWithoutResponse:
-		a.health.Failed(now)
-	case f.slotWasFree && !f.overdue:
-		a.health.Answered(time.Duration(now-f.requestAt), now)
-	}
-}
-
 // maxSequence returns the later of two sequence numbers.
 func maxSequence(x, y uint32) uint32 {
 	if int32(y-x) > 0 {
@@ -372,10 +320,7 @@
 	slowAfter := a.health.SlowAfter()
 	for k, f := range a.flows {
 		idle := time.Duration(now - f.lastPacket)
-		if waited := time.Duration(now - f.requestAt); slowAfter > 0 && f.requestPending && !f.overdue && waited > f.slowAfter(slowAfter) {
-			f.overdue = true
-			a.health.Overdue(waited, now)
-		}
+		a.countOverdue(f, slowAfter, now)
 		switch {
 		case idle > flowIdleTimeout, !f.established && idle > openingTimeout:
 			a.forget(k, f)
