Say when a request counts as overdue

Cause: the comment left out requests that found no free slot, found while reading the diff. Change: the comment only. Result: tests of the package pass.

--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// Overdue records a request that found a free slot and has no answer after
-// SlowAfter. Its later answer must not be passed to Answered.
+// Overdue records a request without an answer after SlowAfter, or after twice that time
+// if it found no free slot. Its later answer must not be passed to Answered.
 func (d *Detector) Overdue(waited time.Duration, now int64) {
 	d.addSample(waited, true)
 	d.addSlow(waited, now)
