--- a/tools/regression.sh
+++ b/tools/regression.sh
@@ -18,7 +18,7 @@
   name=$(basename "$site" .toml)
   "$bench" score "$site" --jobs "${JOBS:-2}" --why "Regression run" >"$log" 2>&1 || failed=1
   grep -q '^GATE passed' "$log" || failed=1
-  worth=$(awk '/^(trouble|scale)-[0-9]+ /{sum += $4; n++} END {if (n) printf "%.3f", sum / n}' "$log")
+  worth=$(awk '/^(trouble|scale)-[0-9]+ / && $2 ~ "/" {sum += $4; n++} END {if (n) printf "%.3f", sum / n}' "$log")
   echo "$name: mean worth of days with trouble ${worth:-none}, $(grep '^GATE' "$log" || echo 'no gate')"
   if [ "${SWEEP:-0}" = 1 ]; then
     if ! "$bench" sweep "$site" --why "Regression run" >"$log" 2>&1; then
