Show the store's era, revisions and the age of the view

Responses now carry Store-Era (a malformed one fails the call), a lower revision than the known one and a view older than 3 s are logged on change and counted, status and metrics show revision, configuration version, age and source. No decision changes.

--- a/cmd/heathergw/status.go
+++ b/cmd/heathergw/status.go
@@ -77,6 +77,10 @@
 	_, _ = fmt.Fprintf(w, "process\t%s (%s, %s)\n", s.Name, s.Role, s.DataCentre)
 	_, _ = fmt.Fprintf(w, "bundle\t%d %.16s\n", s.Sequence, s.Digest)
 	_, _ = fmt.Fprintf(w, "ready\t%t\nstopping\t%t\npauses\t%d\n", s.Ready, s.Stopping, s.Pauses)
+	if st := s.Store; st != nil {
+		_, _ = fmt.Fprintf(w, "store\trevision %d, configuration version %d, confirmed %s ago, latest change from %s\n",
+			st.Revision, st.ConfigurationVersion, time.Duration(st.AgeMillis)*time.Millisecond, st.Source)
+	}
 	if f := s.Flows; f != nil {
 		_, _ = fmt.Fprintf(w, "flows\t%d established, %d half-open, %d registrations, %d held\n",
 			f.Established, f.HalfOpen, f.Registrations, f.Held)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -111,6 +111,8 @@
 	// "removed" or "refused".
 	Kind     string
 	Revision uint64
+	// Version is the version of a configuration, otherwise 0.
+	Version uint64
 	// Err is the decoding error of a refused item.
 	Err error
 }
@@ -271,7 +273,7 @@
 	c.items[item.Key] = &storedItem{item, record}
 	if record.Configuration != nil {
 		c.configuration = record.Configuration
-		changes = append(changes, Change{Subject: "configuration", Kind: "changed", Revision: item.Revision})
+		changes = append(changes, Change{Subject: "configuration", Kind: "changed", Revision: item.Revision, Version: record.Configuration.Version})
 	}
 	return c.applyTarget(previous, record.Target, item, now, changes)
 }
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -41,6 +42,10 @@
 	Items []catalog.Item
 	// Revision is the store's revision at the time of the response.
 	Revision uint64
+	// Era counts how often the store came back from an older copy. HasEra is false
+	// if the response does not contain it.
+	Era    uint64
+	HasEra bool
 	// More is true when the list continues after the last key of the page.
 	More bool
 }
@@ -53,8 +58,8 @@
 	// that waits for at most wait.
 	WatchPath(after uint64, wait time.Duration) string
 	// Decode decodes a response. The error is ErrHistoryLost or a *StatusError, or
-	// names the invalid field.
-	Decode(status int, body []byte) (Response, error)
+	// names the invalid field or header.
+	Decode(status int, header http.Header, body []byte) (Response, error)
 }
 
 // Store reads a store that has revisions and watches. It is not safe for concurrent
@@ -82,7 +87,7 @@
 			return Response{}, fmt.Errorf("list: %w", err)
 		}
 		if all.Revision == 0 {
-			all.Revision = page.Revision
+			all.Revision, all.Era, all.HasEra = page.Revision, page.Era, page.HasEra
 		}
 		all.Items = append(all.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
@@ -112,11 +117,11 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s.client.metrics.reads.Inc(1)
-	status, _, body, err := s.client.fetch(ctx, s.client.base.String()+path, maxResponseBytes)
+	status, header, body, err := s.client.fetch(ctx, s.client.base.String()+path, maxResponseBytes)
 	var response Response
 	if err == nil {
 		s.timeout = storeTimeout
-		response, err = s.api.Decode(status, body)
+		response, err = s.api.Decode(status, header, body)
 	} else {
 		s.client.http.CloseIdleConnections()
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -122,6 +122,10 @@
 	seeds    []netip.Addr
 	storeOK  bool
 	stopping bool
+	// storeBehind is set while the store returns lower revisions than known ones,
+	// unconfirmed while the catalog is older than confirmationBound.
+	storeBehind bool
+	unconfirmed bool
 	// nextHeartbeat, nextGossip and nextProbe are times of the monotonic clock.
 	nextHeartbeat int64
 	nextGossip    int64
@@ -138,8 +142,12 @@
 
 type counters struct {
 	heartbeatsSent, heartbeatsReceived, badDatagrams, pulls, pullsFailed, pushes, storeLists, storeWatches, storeFailures tally.Counter
-	// viewAge is in seconds.
-	viewAge, peers tally.Gauge
+	// storeBehind counts responses with a lower revision than the one known before the call.
+	storeBehind tally.Counter
+	// viewAge is in seconds; viewUnconfirmed is 1 while it exceeds confirmationBound.
+	viewAge, viewUnconfirmed, peers tally.Gauge
+	// storeEra and storeRevision are those of the store's latest response.
+	storeEra, storeRevision tally.Gauge
 }
 
 // New returns a directory that owns its sockets. publish is called, never
@@ -167,7 +175,9 @@
 			pullsFailed: scope.Counter("pulls_failed"), pushes: scope.Counter("pushes"),
 			storeLists: scope.Counter("store_lists"), storeWatches: scope.Counter("store_watches"),
 			storeFailures: scope.Counter("store_failures"),
-			viewAge:       scope.Gauge("view_age_seconds"), peers: scope.Gauge("peers"),
+			storeBehind:   scope.Counter("store_behind"),
+			viewAge:       scope.Gauge("view_age_seconds"), viewUnconfirmed: scope.Gauge("view_unconfirmed"), peers: scope.Gauge("peers"),
+			storeEra: scope.Gauge("store_response_era"), storeRevision: scope.Gauge("store_response_revision"),
 		},
 	}, nil
 }
--- a/internal/exchange/heartbeat.go
+++ b/internal/exchange/heartbeat.go
@@ -129,9 +129,7 @@
 	if d.catalog.HasRetired() {
 		d.publish(Update{AsOf: d.catalog.AsOf(), View: d.catalog.View(now, d.settings.AgentPort)})
 	}
-	if asOf := d.catalog.AsOf(); asOf > 0 {
-		d.counters.viewAge.Update(time.Duration(now - asOf).Seconds())
-	}
+	d.recordViewAge(now)
 	d.counters.peers.Update(float64(len(d.peers)))
 	m := d.heartbeat(now)
 	probe, silent := d.probes(m, now)
@@ -150,6 +148,32 @@
 	d.sendAll(probe, silent)
 }
 
+// confirmationBound is the time within which a configuration must be in force after
+// the store acknowledged it.
+const confirmationBound = 3 * time.Second
+
+// recordViewAge updates the metrics of the view's age and logs when the view exceeds
+// confirmationBound and when it is confirmed again; d.mu is held.
+func (d *Directory) recordViewAge(now int64) {
+	asOf := d.catalog.AsOf()
+	if asOf == 0 {
+		return
+	}
+	age := time.Duration(now - asOf)
+	d.counters.viewAge.Update(age.Seconds())
+	if unconfirmed := age > confirmationBound; unconfirmed != d.unconfirmed {
+		d.unconfirmed = unconfirmed
+		fields := []zap.Field{zap.Duration("view_age", age), zap.Uint64("revision", d.catalog.Revision())}
+		if unconfirmed {
+			d.counters.viewUnconfirmed.Update(1)
+			d.log.Warn("view is not confirmed by the store or a peer", fields...)
+		} else {
+			d.counters.viewUnconfirmed.Update(0)
+			d.log.Info("view is confirmed again", fields...)
+		}
+	}
+}
+
 // probes returns a heartbeat for the silent members that requests an answer, so
 // that their recovery is noticed; d.mu is held.
 func (d *Directory) probes(m *schema.Exchange, now int64) (*schema.Exchange, []netip.Addr) {
--- a/internal/exchange/storeread.go
+++ b/internal/exchange/storeread.go
@@ -95,6 +95,7 @@
 		asOf = max(startedAt, now-int64(maxResponseLatency))
 	}
 	d.mu.Lock()
+	d.recordStoreRevision(response, revision)
 	before := d.catalog.Revision()
 	var changes []catalog.Change
 	if list {
@@ -132,6 +133,26 @@
 	}
 }
 
+// recordStoreRevision reports the era and revision of a response, and when the
+// store's revision is lower than the one that was known before the call; d.mu is held.
+func (d *Directory) recordStoreRevision(r configstore.Response, known uint64) {
+	d.counters.storeEra.Update(float64(r.Era))
+	d.counters.storeRevision.Update(float64(r.Revision))
+	behind := r.Revision < known
+	if behind {
+		d.counters.storeBehind.Inc(1)
+	}
+	if behind != d.storeBehind {
+		d.storeBehind = behind
+		fields := []zap.Field{zap.Uint64("era", r.Era), zap.Uint64("store_revision", r.Revision), zap.Uint64("revision", known)}
+		if behind {
+			d.log.Warn("store returned a lower revision than the known one", fields...)
+		} else {
+			d.log.Info("store returns the known revision or a later one", fields...)
+		}
+	}
+}
+
 // Confirm requests a confirmation of the view that is later than since.
 func (d *Directory) Confirm(since int64) {
 	select {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -23,12 +23,24 @@
 	// failure timeout.
 	Pauses  uint64         `json:"pauses"`
 	Targets []TargetStatus `json:"targets"`
+	// Store is set only by processes that take their configuration from the store.
+	Store *StoreStatus `json:"store,omitempty"`
 	// Flows is set only by agents.
 	Flows    *FlowStatus        `json:"flows,omitempty"`
 	Counters map[string]float64 `json:"counters"`
 	Audit    []audit.Record     `json:"audit"`
 }
 
+// StoreStatus describes the copy of the store that a process uses.
+type StoreStatus struct {
+	Revision             uint64 `json:"revision"`
+	ConfigurationVersion uint64 `json:"configuration_version"`
+	// AgeMillis is the time in milliseconds since the store last confirmed the copy.
+	AgeMillis int64 `json:"age_ms"`
+	// Source is the origin of the latest change: "store", or the address of a peer.
+	Source string `json:"source"`
+}
+
 // TargetStatus is the state of a target as seen by the process.
 type TargetStatus struct {
 	ID         uint32 `json:"id"`
--- a/internal/relaynode/process.go
+++ b/internal/relaynode/process.go
@@ -86,6 +86,8 @@
 	// onView is called with each new view; nil in an entry.
 	onView func(*catalog.View)
 
+	// viewSource is the origin of the current view; see exchange.Update.
+	viewSource atomic.Pointer[string]
 	stopping   atomic.Bool
 	lastPacket atomic.Int64
 }
@@ -183,7 +185,11 @@
 		if p.onView != nil {
 			p.onView(u.View)
 		}
+		if u.Source != "" {
+			p.viewSource.Store(&u.Source)
+		}
 		p.counters.revision.Update(float64(u.View.Revision))
+		p.counters.version.Update(float64(u.View.Version))
 		if first {
 			p.log.Info("first view", zap.Uint64("revision", u.View.Revision), zap.String("source", u.Source))
 		}
@@ -199,6 +205,9 @@
 func (p *process) recordChange(c catalog.Change, source string) {
 	r := audit.Record{Source: source, Subject: c.Subject, To: c.Kind, Outcome: audit.Accepted,
 		Reason: fmt.Sprintf("revision %d", c.Revision)}
+	if c.Version > 0 {
+		r.Reason += fmt.Sprintf(", version %d", c.Version)
+	}
 	if c.Err != nil {
 		p.counters.badStoreItem.Inc(1)
 		r.Outcome, r.Reason = audit.Refused, c.Err.Error()
--- a/internal/relaynode/status.go
+++ b/internal/relaynode/status.go
@@ -58,6 +58,13 @@
 	if v := p.core.View.Load(); v != nil {
 		s.Sequence = v.Revision
 		now := node.Clock()
+		s.Store = &node.StoreStatus{
+			Revision: v.Revision, ConfigurationVersion: v.Version,
+			AgeMillis: (now - p.core.AsOf.Load()) / int64(time.Millisecond),
+		}
+		if source := p.viewSource.Load(); source != nil {
+			s.Store.Source = *source
+		}
 		v.Members(func(m *catalog.Member) {
 			t := node.NewTargetStatus(m.Target)
 			t.State = m.State.String()
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -22,7 +22,8 @@
 type counters struct {
 	badDatagram, badStoreItem, badSettings tally.Counter
 	sendFailed                             tally.Counter
-	revision                               tally.Gauge
+	// revision is the store's revision in force, version that of the configuration.
+	revision, version tally.Gauge
 	// responseTime is the time from the delivery of a request to the first packet
 	// of the host's response; queueTime is the time an opening spent in the queue.
 	responseTime, queueTime tally.Histogram
@@ -51,6 +52,7 @@
 		badSettings:  scope.Counter("bad_settings"),
 		sendFailed:   scope.Counter("send_failed"),
 		revision:     scope.Gauge("store_revision"),
+		version:      scope.Gauge("configuration_version"),
 		verdicts:     map[relay.Reason]tally.Counter{},
 		responseTime: scope.Histogram("request_to_answer", latencyBuckets),
 		queueTime:    scope.Histogram("opening_wait", latencyBuckets),
