--- a/internal/exchange/directory_test.go
+++ b/internal/exchange/directory_test.go
@@ -191,3 +191,43 @@
 	}
 	c.Check(n <= 3, qt.IsTrue, qt.Commentf("%d processes read the store, %d called it", n, len(readers)))
 }
+
+// Guards against a configuration that the store acknowledges after it came back from
+// an older copy and that is not in force in time.
+func TestChangeAfterStoreRestoreIsInForce(t *testing.T) {
+	c := qt.New(t)
+	s := platformtest.NewStore()
+	route := func(port uint16) map[netip.AddrPort]string {
+		return map[netip.AddrPort]string{netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), port): "booking"}
+	}
+	host := func(i byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 10, 2, i}), 9000) }
+	s.PutTarget("i-1", "booking", "a", host(1), 4, "ready")
+	s.PutConfiguration(3, route(3))
+	all := []*member{
+		startMember(c, "127.10.1.1", true, s),
+		startMember(c, "127.10.1.2", true, unavailable, "127.10.1.1"),
+		startMember(c, "127.10.2.1", false, unavailable, "127.10.1.1"),
+	}
+	inForce := func(version uint64) {
+		c.Helper()
+		waitUntil(c, 3*time.Second, fmt.Sprint("version ", version, " in force"), func() bool {
+			for _, m := range all {
+				if v := m.view.Load(); v == nil || v.Version != version {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	inForce(3)
+	older := s.Copy()
+	s.PutConfiguration(4, route(4))
+	s.PutTarget("i-1", "booking", "a", host(1), 4, "ready")
+	s.PutTarget("i-2", "booking", "a", host(2), 4, "ready")
+	inForce(4)
+	for version := uint64(5); version < 8; version++ {
+		s.Restore(older)
+		s.PutConfiguration(version, route(uint16(version)))
+		inForce(version)
+	}
+}
