--- a/cmd/heathergw/status.go
+++ b/cmd/heathergw/status.go
@@ -78,8 +78,8 @@
 	_, _ = fmt.Fprintf(w, "bundle\t%d %.16s\n", s.Sequence, s.Digest)
 	_, _ = fmt.Fprintf(w, "ready\t%t\nstopping\t%t\npauses\t%d\n", s.Ready, s.Stopping, s.Pauses)
 	if st := s.Store; st != nil {
-		_, _ = fmt.Fprintf(w, "store\trevision %d, configuration version %d, confirmed %s ago, latest change from %s\n",
-			st.Revision, st.ConfigurationVersion, time.Duration(st.AgeMillis)*time.Millisecond, st.Source)
+		_, _ = fmt.Fprintf(w, "store\tera %d, revision %d, configuration version %d, confirmed %s ago, latest change from %s\n",
+			st.Era, st.Revision, st.ConfigurationVersion, time.Duration(st.AgeMillis)*time.Millisecond, st.Source)
 	}
 	if f := s.Flows; f != nil {
 		_, _ = fmt.Fprintf(w, "flows\t%d established, %d half-open, %d registrations, %d held\n",
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,8 +1,8 @@
 // Package catalog holds a process's copy of the configuration store: the
-// configuration and the registered targets at a revision of the store. The state
-// at a revision is the same in every process, so of two copies the one with the
-// higher revision is the current one. The package opens no sockets and reads no
-// clock.
+// configuration and the registered targets at a position of the store. What the
+// store holds at a position is the same in every process, so of two copies the one
+// with the later position is the current one. The package opens no sockets and reads
+// no clock.
 //
 // A Catalog is not safe for concurrent use; its View is immutable and can be
 // shared.
@@ -89,6 +89,8 @@
 	// HostStartedAtMillis is the start time of the host in Unix milliseconds;
 	// zero means unknown.
 	HostStartedAtMillis int64
+	// Sequence orders what the host wrote since its start.
+	Sequence uint64
 }
 
 // Record is the decoded form of an item: a configuration, a target, or neither
@@ -108,7 +110,8 @@
 	// the item's key.
 	Subject string
 	// Kind is the kind of change: "added", "draining", "restarted", "changed",
-	// "removed" or "refused".
+	// "removed" or "refused"; "kept" and "hidden" if an item that the store lost stays
+	// in force, see lostItem; "outdated" if the store has an older item than that.
 	Kind     string
 	Revision uint64
 	// Version is the version of a configuration, otherwise 0.
@@ -134,47 +137,62 @@
 // Catalog is one process's copy of the store.
 type Catalog struct {
 	decode   DecodeFunc
-	revision uint64
+	position Position
 	asOf     int64
 	items    map[string]*storedItem
-	// recentChanges holds the latest changes in the order of their revisions,
-	// recentBase the revision to which they apply.
+	// recentChanges holds the latest changes of the era in the order of their
+	// revisions, recentBase the revision to which they apply.
 	recentChanges []Item
 	recentBase    uint64
-	retired       map[string]retiredTarget
-	// configuration is the newest configuration that could be decoded.
-	configuration *Configuration
+	// transition holds the changes that led into the era; nil if unknown.
+	transition *transition
+	retired    map[string]retiredTarget
+	// configuration is the newest configuration that could be decoded, with its item.
+	configuration *storedItem
+	// removed holds drained targets that left the store, lost the items that the store
+	// lost; see lost.go.
+	removed map[string]removedTarget
+	lost    map[string]*lostItem
+	// eraSince is the earliest time at which a process is known to have seen the era.
+	eraSince int64
 }
 
 // New returns an empty catalog.
 func New(decode DecodeFunc) *Catalog {
-	return &Catalog{decode: decode, items: map[string]*storedItem{}, retired: map[string]retiredTarget{}}
+	return &Catalog{
+		decode: decode, items: map[string]*storedItem{}, retired: map[string]retiredTarget{},
+		removed: map[string]removedTarget{}, lost: map[string]*lostItem{},
+	}
 }
 
-// Revision returns the store revision of the catalog, or 0 if it has none yet.
-func (c *Catalog) Revision() uint64 { return c.revision }
+// Position returns the position of the catalog, which is not known at first.
+func (c *Catalog) Position() Position { return c.position }
 
 // AsOf returns the latest time, in nanoseconds of the monotonic clock, at which
-// the catalog's revision is known to have been the store's current one.
+// the catalog's position is known to have been the store's current one.
 func (c *Catalog) AsOf() int64 { return c.asOf }
 
-// Confirm records that revision was the store's current revision at time asOf. It
-// has no effect if the catalog holds a different revision.
-func (c *Catalog) Confirm(revision uint64, asOf int64) {
-	if revision == c.revision && revision > 0 {
+// Confirm records that p was the store's current position at time asOf. It has no
+// effect if the catalog has a different position.
+func (c *Catalog) Confirm(p Position, asOf int64) {
+	if p == c.position && p.Known() {
 		c.asOf = max(c.asOf, asOf)
 	}
 }
 
-// Replace replaces the contents with all items of the store at revision. A
-// revision lower than the catalog's has no effect.
-func (c *Catalog) Replace(items []Item, revision uint64, asOf int64) []Change {
-	if revision < c.revision || revision == 0 {
+// Replace replaces the contents with all items of the store at position p. An
+// earlier position than the catalog's has no effect.
+func (c *Catalog) Replace(items []Item, p Position, asOf int64) []Change {
+	switch {
+	case !p.Known() || p.Before(c.position):
 		return nil
-	}
-	if revision == c.revision && c.revision > 0 {
-		c.Confirm(revision, asOf)
+	case p == c.position:
+		c.Confirm(p, asOf)
 		return nil
+	case c.position.Known() && p.Era > c.position.Era:
+		return c.beginEra(items, p, asOf)
+	case !c.position.Known():
+		c.eraSince = asOf
 	}
 	present := make(map[string]bool, len(items))
 	var changes []Change
@@ -183,28 +201,32 @@
 		changes = c.putItem(item, asOf, changes)
 	}
 	for key, h := range c.items {
-		if !present[key] && h.item.Revision <= revision {
-			changes = c.putItem(Item{Key: key, Revision: revision, Deleted: true}, asOf, changes)
+		if !present[key] && h.item.Revision <= p.Revision {
+			changes = c.putItem(Item{Key: key, Revision: p.Revision, Deleted: true}, asOf, changes)
 		}
 	}
-	c.recentChanges, c.recentBase = nil, revision
-	c.advance(revision, asOf)
+	c.recentChanges, c.recentBase, c.transition = nil, p.Revision, nil
+	c.advance(p, asOf)
 	return changes
 }
 
-// Apply applies the changes after base up to revision. It returns false if the
-// catalog has not reached base; the caller must then get a snapshot.
-func (c *Catalog) Apply(base, revision uint64, items []Item, asOf int64) ([]Change, bool) {
-	if c.revision == 0 || base > c.revision {
+// Apply applies the changes after base up to position p. It returns false if they
+// do not follow on the catalog's position; the caller must then get a snapshot.
+func (c *Catalog) Apply(base, p Position, items []Item, asOf int64) ([]Change, bool) {
+	switch {
+	case !c.position.Known():
 		return nil, false
-	}
-	if revision <= c.revision {
-		c.Confirm(revision, asOf)
+	case p.Compare(c.position) <= 0:
+		c.Confirm(p, asOf)
 		return nil, true
+	case p.Era > c.position.Era && base == c.position:
+		return c.Replace(c.patched(items), p, asOf), true
+	case p.Era > c.position.Era || base.Compare(c.position) > 0:
+		return nil, false
 	}
 	var changes []Change
 	for _, item := range items {
-		if item.Revision <= c.revision {
+		if item.Revision <= c.position.Revision {
 			continue
 		}
 		changes = c.putItem(item, asOf, changes)
@@ -213,27 +235,33 @@
 	if excess := len(c.recentChanges) - maxRecentChanges; excess > 0 {
 		c.recentBase = c.recentChanges[excess-1].Revision
 		c.recentChanges = slices.Delete(c.recentChanges, 0, excess)
+		c.transition = nil
 	}
-	c.advance(revision, asOf)
+	c.advance(p, asOf)
 	return changes, true
 }
 
-func (c *Catalog) advance(revision uint64, asOf int64) {
-	c.revision = revision
+func (c *Catalog) advance(p Position, asOf int64) {
+	c.position = p
 	c.asOf = max(c.asOf, asOf)
 }
 
-// HasRetired reports whether the catalog retains retired targets. If it does, its
-// views change as time passes.
-func (c *Catalog) HasRetired() bool { return len(c.retired) > 0 }
+// ChangesWithTime reports whether the catalog retains targets that are not in the
+// store. If it does, its views change as time passes.
+func (c *Catalog) ChangesWithTime() bool { return len(c.retired) > 0 || c.hasLostTarget() }
 
 // Since returns the changes after base, or false if some of them are no longer
 // available.
-func (c *Catalog) Since(base uint64) ([]Item, bool) {
-	if c.revision == 0 || base < c.recentBase {
+func (c *Catalog) Since(base Position) ([]Item, bool) {
+	switch {
+	case !c.position.Known():
+		return nil, false
+	case c.transition != nil && base == c.transition.base:
+		return slices.Concat(c.transition.items, c.recentChanges), true
+	case base.Era != c.position.Era || base.Revision < c.recentBase:
 		return nil, false
 	}
-	first, _ := slices.BinarySearchFunc(c.recentChanges, base+1, func(item Item, revision uint64) int {
+	first, _ := slices.BinarySearchFunc(c.recentChanges, base.Revision+1, func(item Item, revision uint64) int {
 		if item.Revision < revision {
 			return -1
 		}
@@ -242,7 +270,8 @@
 	return c.recentChanges[first:], true
 }
 
-// Snapshot returns all items at the catalog's revision in no particular order.
+// Snapshot returns all items of the store at the catalog's position in no particular
+// order.
 func (c *Catalog) Snapshot() []Item {
 	items := make([]Item, 0, len(c.items))
 	for _, h := range c.items {
@@ -251,66 +280,112 @@
 	return items
 }
 
+// current returns the item in force for a key: the one that the store lost, or else
+// the store's. It is nil if there is none.
+func (c *Catalog) current(key string) *storedItem {
+	lost := c.lost[key]
+	switch {
+	case lost == nil:
+		return c.items[key]
+	case lost.item.Deleted:
+		return nil
+	default:
+		return &lost.storedItem
+	}
+}
+
 // putItem stores one item. An item that cannot be decoded is kept for peers, but
 // it defines no target, and the last valid configuration stays in effect.
 func (c *Catalog) putItem(item Item, now int64, changes []Change) []Change {
-	previous := c.items[item.Key]
-	if previous != nil && previous.item.Revision >= item.Revision {
+	if stored := c.items[item.Key]; stored != nil && stored.item.Revision >= item.Revision {
 		return changes
 	}
+	before := c.current(item.Key)
 	if item.Deleted {
-		if previous == nil {
-			return changes
-		}
 		delete(c.items, item.Key)
-		return c.retireTarget(previous, item.Revision, now, changes)
+		delete(c.lost, item.Key)
+		if before != nil {
+			c.recordRemoval(before, now)
+		}
+		return c.recordDifference(before, nil, item.Revision, now, changes)
 	}
+	stored, changes := c.store(item, changes)
+	if lost := c.lost[item.Key]; lost != nil {
+		if lost.supersedes(stored) {
+			return append(changes, Change{Subject: lost.subject(), Kind: "outdated", Revision: item.Revision, Version: stored.version()})
+		}
+		delete(c.lost, item.Key)
+	}
+	delete(c.removed, item.Key)
+	return c.recordDifference(before, stored, item.Revision, now, changes)
+}
+
+// store decodes an item and keeps it as the store's.
+func (c *Catalog) store(item Item, changes []Change) (*storedItem, []Change) {
 	record, err := c.decode(item)
 	if err != nil {
 		changes = append(changes, Change{Subject: item.Key, Kind: "refused", Revision: item.Revision, Err: err})
 		record = Record{}
 	}
-	c.items[item.Key] = &storedItem{item, record}
-	if record.Configuration != nil {
-		c.configuration = record.Configuration
-		changes = append(changes, Change{Subject: "configuration", Kind: "changed", Revision: item.Revision, Version: record.Configuration.Version})
-	}
-	return c.applyTarget(previous, record.Target, item, now, changes)
+	stored := &storedItem{item, record}
+	c.items[item.Key] = stored
+	return stored, changes
 }
 
-// applyTarget updates the retired targets after an item has changed and records
-// the kind of change. A nil target means that the item defines none.
-func (c *Catalog) applyTarget(previous *storedItem, target *Target, item Item, now int64, changes []Change) []Change {
-	var previousTarget *Target
-	if previous != nil {
-		previousTarget = previous.record.Target
+// recordDifference puts a change of the item in force into effect, updates the
+// retired targets, and records the kind of change. before and after may be nil.
+func (c *Catalog) recordDifference(before, after *storedItem, revision uint64, now int64, changes []Change) []Change {
+	if after != nil && after.record.Configuration != nil {
+		c.configuration = after
+		changes = append(changes, Change{Subject: after.subject(), Kind: "changed", Revision: revision, Version: after.version()})
 	}
+	previous, target := before.target(), after.target()
 	switch {
-	case target == nil && previousTarget == nil:
+	case target == nil && previous == nil:
 		return changes
 	case target == nil:
-		return c.retireTarget(previous, item.Revision, now, changes)
+		c.retired[before.item.Key] = retiredTarget{target: *previous, retiredAt: now, lapsed: !previous.Draining}
+		return append(changes, Change{Subject: previous.ID, Kind: "removed", Revision: revision})
 	}
-	delete(c.retired, item.Key)
+	delete(c.retired, after.item.Key)
 	kind := "changed"
 	switch {
-	case previousTarget == nil:
+	case previous == nil:
 		kind = "added"
-	case target.Draining && !previousTarget.Draining:
+	case *target == *previous:
+		return changes
+	case target.Draining && !previous.Draining:
 		kind = "draining"
-	case target.HostStartedAtMillis != previousTarget.HostStartedAtMillis:
+	case target.HostStartedAtMillis != previous.HostStartedAtMillis:
 		kind = "restarted"
 	}
-	return append(changes, Change{Subject: target.ID, Kind: kind, Revision: item.Revision})
+	return append(changes, Change{Subject: target.ID, Kind: kind, Revision: revision})
 }
 
-// retireTarget retires the target of an item that was deleted or no longer
-// defines a target.
-func (c *Catalog) retireTarget(previous *storedItem, revision uint64, now int64, changes []Change) []Change {
-	target := previous.record.Target
-	if target == nil {
-		return changes
+// target returns the target that the item defines, or nil; s may be nil.
+func (s *storedItem) target() *Target {
+	if s == nil {
+		return nil
+	}
+	return s.record.Target
+}
+
+// version returns the version of the configuration that the item defines, or 0.
+func (s *storedItem) version() uint64 {
+	if s.record.Configuration == nil {
+		return 0
+	}
+	return s.record.Configuration.Version
+}
+
+// subject returns what Change.Subject names.
+func (s *storedItem) subject() string {
+	switch {
+	case s.record.Configuration != nil:
+		return "configuration"
+	case s.record.Target != nil:
+		return s.record.Target.ID
+	default:
+		return s.item.Key
 	}
-	c.retired[previous.item.Key] = retiredTarget{target: *target, retiredAt: now, lapsed: !target.Draining}
-	return append(changes, Change{Subject: target.ID, Kind: "removed", Revision: revision})
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -16,11 +16,12 @@
 
 var errBadValue = errors.New("bad value")
 
-// decode decodes test values: "config N", "ADDRESS SERVICE STATE STARTED" or
-// "bad".
+// decode decodes test values: "config N", "ADDRESS SERVICE STATE STARTED", optionally
+// followed by a sequence, or "bad".
 func decode(it Item) (Record, error) {
 	var address, service, state string
 	var startedAtMillis int64
+	var sequence uint64
 	switch value := string(it.Value); {
 	case value == "bad":
 		return Record{}, errBadValue
@@ -33,12 +34,12 @@
 			Name: "r", Destination: netip.MustParseAddrPort("198.18.0.1:443"), Services: []WeightedService{{"booking", 1}},
 		}}}}, nil
 	default:
-		if _, err := fmt.Sscanf(value, "%s %s %s %d", &address, &service, &state, &startedAtMillis); err != nil {
+		if n, err := fmt.Sscanf(value, "%s %s %s %d %d", &address, &service, &state, &startedAtMillis, &sequence); n < 4 {
 			return Record{}, err
 		}
 		return Record{Target: &Target{
 			ID: it.Key, Service: service, DataCentre: "a", Host: netip.MustParseAddrPort(address + ":9000"),
-			Slots: 4, Draining: state == "draining", HostStartedAtMillis: startedAtMillis,
+			Slots: 4, Draining: state == "draining", HostStartedAtMillis: startedAtMillis, Sequence: sequence,
 		}}, nil
 	}
 }
@@ -47,6 +48,9 @@
 	return Item{Key: key, Revision: revision, Value: []byte(value)}
 }
 
+// at returns a position in the first era.
+func at(revision uint64) Position { return Position{Era: 1, Revision: revision} }
+
 // memberStates returns the service and state of each member by its name.
 func memberStates(c *Catalog, now int64) map[string]string {
 	result := map[string]string{}
@@ -59,18 +63,18 @@
 func TestRevisionNeverGoesBack(t *testing.T) {
 	c := qt.New(t)
 	catalog := New(decode)
-	catalog.Replace([]Item{item("config", 9, "config 3"), item("t1", 5, "10.0.0.1 booking ready 1")}, 10, 100)
-	c.Check(catalog.Replace([]Item{item("config", 4, "config 1")}, 8, 200), qt.HasLen, 0)
-	changes, ok := catalog.Apply(6, 9, []Item{item("config", 8, "config 2")}, 300)
+	catalog.Replace([]Item{item("config", 9, "config 3"), item("t1", 5, "10.0.0.1 booking ready 1")}, at(10), 100)
+	c.Check(catalog.Replace([]Item{item("config", 4, "config 1")}, at(8), 200), qt.HasLen, 0)
+	changes, ok := catalog.Apply(at(6), at(9), []Item{item("config", 8, "config 2")}, 300)
 	c.Check(ok, qt.IsTrue)
 	c.Check(changes, qt.HasLen, 0)
 	v := catalog.View(0, 8100)
 	c.Check(v.Version, qt.Equals, uint64(3))
-	c.Check(v.Revision, qt.Equals, uint64(10))
+	c.Check(v.At.Revision, qt.Equals, uint64(10))
 	c.Check(catalog.AsOf(), qt.Equals, int64(100), qt.Commentf("an update to an older revision confirms nothing"))
-	catalog.Confirm(9, 500)
+	catalog.Confirm(at(9), 500)
 	c.Check(catalog.AsOf(), qt.Equals, int64(100))
-	catalog.Confirm(10, 400)
+	catalog.Confirm(at(10), 400)
 	c.Check(catalog.AsOf(), qt.Equals, int64(400))
 }
 
@@ -78,17 +82,17 @@
 func TestApplyRequiresBaseRevision(t *testing.T) {
 	c := qt.New(t)
 	catalog := New(decode)
-	_, ok := catalog.Apply(0, 5, nil, 1)
+	_, ok := catalog.Apply(at(0), at(5), nil, 1)
 	c.Check(ok, qt.IsFalse, qt.Commentf("the catalog is still empty"))
-	catalog.Replace([]Item{item("t1", 5, "10.0.0.1 booking ready 1")}, 10, 1)
-	_, ok = catalog.Apply(12, 13, []Item{item("t2", 13, "10.0.0.2 booking ready 1")}, 1)
+	catalog.Replace([]Item{item("t1", 5, "10.0.0.1 booking ready 1")}, at(10), 1)
+	_, ok = catalog.Apply(at(12), at(13), []Item{item("t2", 13, "10.0.0.2 booking ready 1")}, 1)
 	c.Check(ok, qt.IsFalse)
-	_, ok = catalog.Apply(10, 12, []Item{item("t2", 12, "10.0.0.2 booking ready 1")}, 1)
+	_, ok = catalog.Apply(at(10), at(12), []Item{item("t2", 12, "10.0.0.2 booking ready 1")}, 1)
 	c.Check(ok, qt.IsTrue)
-	since, ok := catalog.Since(10)
+	since, ok := catalog.Since(at(10))
 	c.Check(ok, qt.IsTrue)
 	c.Check(since, qt.HasLen, 1)
-	_, ok = catalog.Since(9)
+	_, ok = catalog.Since(at(9))
 	c.Check(ok, qt.IsFalse, qt.Commentf("changes before the snapshot are unknown"))
 }
 
@@ -97,15 +101,15 @@
 func TestUndecodableItem(t *testing.T) {
 	c := qt.New(t)
 	catalog := New(decode)
-	catalog.Replace([]Item{item("config", 1, "config 1"), item("t1", 2, "10.0.0.1 booking ready 1")}, 2, 1)
-	changes, _ := catalog.Apply(2, 4, []Item{item("config", 3, "bad"), item("t2", 4, "bad")}, 1)
+	catalog.Replace([]Item{item("config", 1, "config 1"), item("t1", 2, "10.0.0.1 booking ready 1")}, at(2), 1)
+	changes, _ := catalog.Apply(at(2), at(4), []Item{item("config", 3, "bad"), item("t2", 4, "bad")}, 1)
 	c.Assert(changes, qt.HasLen, 2)
 	c.Check(changes[0].Err, qt.ErrorIs, errBadValue)
 	v := catalog.View(1, 8100)
 	c.Check(v.ConfigurationKnown, qt.IsTrue)
 	c.Check(v.Version, qt.Equals, uint64(1))
 	c.Check(memberStates(catalog, 1), qt.DeepEquals, map[string]string{"t1": "booking active"})
-	_, _ = catalog.Apply(4, 5, []Item{item("t1", 5, "bad")}, 1)
+	_, _ = catalog.Apply(at(4), at(5), []Item{item("t1", 5, "bad")}, 1)
 	c.Check(memberStates(catalog, 1)["t1"], qt.Equals, "booking lapsed", qt.Commentf("an item that another writer made undecodable defines no target"))
 }
 
@@ -117,14 +121,14 @@
 	catalog := New(decode)
 	catalog.Replace([]Item{
 		item("t1", 1, "10.0.0.1 booking ready 1"), item("t2", 2, "10.0.0.2 booking draining 1"),
-	}, 2, 0)
+	}, at(2), 0)
 	c.Check(memberStates(catalog, 0), qt.DeepEquals, map[string]string{"t1": "booking active", "t2": "booking draining"})
-	catalog.Apply(2, 4, []Item{{Key: "t1", Revision: 3, Deleted: true}, {Key: "t2", Revision: 4, Deleted: true}}, 0)
+	catalog.Apply(at(2), at(4), []Item{{Key: "t1", Revision: 3, Deleted: true}, {Key: "t2", Revision: 4, Deleted: true}}, 0)
 	c.Check(memberStates(catalog, 1), qt.DeepEquals, map[string]string{"t1": "booking lapsed", "t2": "booking retired"})
 	c.Check(memberStates(catalog, int64(lapseGrace)), qt.DeepEquals, map[string]string{"t1": "booking retired"})
-	catalog.Apply(4, 5, []Item{item("t1", 5, "10.0.0.1 booking ready 1")}, 0)
+	catalog.Apply(at(4), at(5), []Item{item("t1", 5, "10.0.0.1 booking ready 1")}, 0)
 	c.Check(memberStates(catalog, int64(lapseGrace)), qt.DeepEquals, map[string]string{"t1": "booking active"})
-	catalog.Apply(5, 6, []Item{{Key: "t1", Revision: 6, Deleted: true}}, int64(time.Minute))
+	catalog.Apply(at(5), at(6), []Item{{Key: "t1", Revision: 6, Deleted: true}}, int64(time.Minute))
 	c.Check(memberStates(catalog, int64(time.Minute+lapsedRetention)+1), qt.HasLen, 0)
 }
 
@@ -134,11 +138,11 @@
 func TestReusedAddressAndRestartedHost(t *testing.T) {
 	c := qt.New(t)
 	catalog := New(decode)
-	catalog.Replace([]Item{item("t1", 1, "10.0.0.1 booking ready 1")}, 1, 0)
-	catalog.Apply(1, 2, []Item{item("t9", 2, "10.0.0.1 intake ready 2")}, 0)
+	catalog.Replace([]Item{item("t1", 1, "10.0.0.1 booking ready 1")}, at(1), 0)
+	catalog.Apply(at(1), at(2), []Item{item("t9", 2, "10.0.0.1 intake ready 2")}, 0)
 	c.Check(memberStates(catalog, 0), qt.DeepEquals, map[string]string{"t9": "intake active"})
 	c.Check(catalog.View(0, 8100).Service("booking"), qt.IsNil)
-	changes, _ := catalog.Apply(2, 3, []Item{item("t9", 3, "10.0.0.1 intake ready 7")}, 0)
+	changes, _ := catalog.Apply(at(2), at(3), []Item{item("t9", 3, "10.0.0.1 intake ready 7")}, 0)
 	c.Check(changes[0].Kind, qt.Equals, "restarted")
 }
 
@@ -150,7 +154,7 @@
 		store := map[string]Item{}
 		var log []Item
 		first, second := New(decode), New(decode)
-		first.Replace(nil, 1, 0)
+		first.Replace(nil, at(1), 0)
 		for revision := uint64(2); revision < 40; revision++ {
 			key := fmt.Sprint("t", rapid.IntRange(0, 5).Draw(t, "key"))
 			it := item(key, revision, fmt.Sprintf("10.0.0.%s booking ready %d", key[1:], revision))
@@ -162,26 +166,26 @@
 			}
 			log = append(log, it)
 			if rapid.Bool().Draw(t, "one reads") {
-				base := first.Revision()
-				first.Apply(base, revision, log[base-1:], 0)
+				base := first.Position().Revision
+				first.Apply(at(base), at(revision), log[base-1:], 0)
 			}
 			switch rapid.IntRange(0, 2).Draw(t, "two learns") {
 			case 0: // from the first catalog, like a peer
-				if items, ok := first.Since(second.Revision()); ok && second.Revision() > 0 {
-					second.Apply(second.Revision(), first.Revision(), items, 0)
+				if items, ok := first.Since(second.Position()); ok && second.Position().Known() {
+					second.Apply(second.Position(), first.Position(), items, 0)
 				} else {
-					second.Replace(first.Snapshot(), first.Revision(), 0)
+					second.Replace(first.Snapshot(), first.Position(), 0)
 				}
 			case 1: // from the store
 				var items []Item
 				for _, it := range store {
 					items = append(items, it)
 				}
-				second.Replace(items, revision, 0)
+				second.Replace(items, at(revision), 0)
 			}
 		}
-		first.Apply(first.Revision(), 39, log[first.Revision()-1:], 0)
-		second.Replace(first.Snapshot(), first.Revision(), 0)
+		first.Apply(first.Position(), at(39), log[first.Position().Revision-1:], 0)
+		second.Replace(first.Snapshot(), first.Position(), 0)
 		firstRevisions, secondRevisions := map[string]uint64{}, map[string]uint64{}
 		for _, it := range first.Snapshot() {
 			firstRevisions[it.Key] = it.Revision
@@ -205,9 +209,9 @@
 	for i := range 40 {
 		items = append(items, item(fmt.Sprint("t", i), uint64(i+2), fmt.Sprintf("10.0.0.%d booking ready 1", i+1)))
 	}
-	catalog.Replace(items, 50, 0)
+	catalog.Replace(items, at(50), 0)
 	before := catalog.View(0, 8100)
-	catalog.Apply(50, 54, []Item{
+	catalog.Apply(at(50), at(54), []Item{
 		{Key: "t3", Revision: 51, Deleted: true}, item("t4", 52, "10.0.0.5 booking draining 1"),
 		item("new", 53, "10.0.0.99 booking ready 1"), item("moved", 54, "10.0.0.7 intake ready 1"),
 	}, 0)
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -64,7 +64,8 @@
 
 // View is an immutable snapshot of a catalog, compiled for the packet path.
 type View struct {
-	Revision uint64
+	// At is the position of the store that the view shows.
+	At Position
 	// Version is the operator's version of the configuration.
 	Version uint64
 	// ConfigurationKnown is false until the first configuration is decoded.
@@ -86,7 +87,7 @@
 // receive packets.
 func (c *Catalog) View(now int64, agentPort uint16) *View {
 	v := &View{
-		Revision: c.revision,
+		At:       c.position,
 		hashView: &bundle.View{HashKey: hashKey},
 		routes:   map[netip.AddrPort]*RouteView{},
 		services: map[string]*Service{},
@@ -94,7 +95,7 @@
 	}
 	c.addMembers(v, now, agentPort)
 	if c.configuration != nil {
-		v.addConfiguration(c.configuration)
+		v.addConfiguration(c.configuration.record.Configuration)
 	}
 	for _, s := range v.services {
 		slices.SortFunc(s.Targets, func(a, b *bundle.Target) int { return cmp.Compare(a.ID, b.ID) })
@@ -133,17 +134,7 @@
 // addMembers adds registered targets, newest first, and then retired ones. An
 // address has only one member: the first target that is added with it.
 func (c *Catalog) addMembers(v *View, now int64, agentPort uint16) {
-	keys := make([]string, 0, len(c.items))
-	for key, h := range c.items {
-		if h.record.Target != nil {
-			keys = append(keys, key)
-		}
-	}
-	slices.SortFunc(keys, func(a, b string) int {
-		return cmp.Or(cmp.Compare(c.items[b].item.Revision, c.items[a].item.Revision), cmp.Compare(a, b))
-	})
-	for _, key := range keys {
-		target := c.items[key].record.Target
+	for _, target := range c.registeredTargets() {
 		state := Ready
 		if target.Draining {
 			state = Draining
@@ -164,6 +155,42 @@
 	}
 }
 
+// registeredTargets returns the targets of the store, newest first, and those that the
+// store lost. Of these two kinds the host that started later has an address, since
+// revisions of different eras cannot be compared.
+func (c *Catalog) registeredTargets() []*Target {
+	lost := map[netip.AddrPort]*Target{}
+	for _, l := range c.lost {
+		t := l.record.Target
+		if t == nil || l.item.Deleted {
+			continue
+		}
+		if other := lost[t.Host]; other == nil || other.HostStartedAtMillis < t.HostStartedAtMillis {
+			lost[t.Host] = t
+		}
+	}
+	stored := make([]*storedItem, 0, len(c.items))
+	for key, s := range c.items {
+		if s.record.Target != nil && c.lost[key] == nil {
+			stored = append(stored, s)
+		}
+	}
+	slices.SortFunc(stored, func(a, b *storedItem) int {
+		return cmp.Or(cmp.Compare(b.item.Revision, a.item.Revision), cmp.Compare(a.item.Key, b.item.Key))
+	})
+	targets := make([]*Target, 0, len(stored)+len(lost))
+	for _, s := range stored {
+		t := s.record.Target
+		if l := lost[t.Host]; l == nil || l.HostStartedAtMillis < t.HostStartedAtMillis {
+			targets = append(targets, t)
+		}
+	}
+	for _, t := range lost {
+		targets = append(targets, t)
+	}
+	return targets
+}
+
 // service returns the service with the name and adds it if necessary.
 func (v *View) service(name string) *Service {
 	s := v.services[name]
--- a/internal/exchange/directory_test.go
+++ b/internal/exchange/directory_test.go
@@ -79,7 +79,7 @@
 
 func (m *member) revision() uint64 {
 	if v := m.view.Load(); v != nil {
-		return v.Revision
+		return v.At.Revision
 	}
 	return 0
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -91,15 +91,26 @@
 	// AsOf is the time of the store's last confirmation.
 	AsOf    int64
 	Changes []catalog.Change
-	// Source is the origin of the update: "store", or the address of a peer.
+	// Source is the origin of the changes: sourceStore, the address of a peer, or
+	// sourceExpiry.
 	Source string
 }
 
+// Values of Update.Source.
+const (
+	sourceStore = "store"
+	// sourceExpiry is the source of changes that are due to the passing of time.
+	sourceExpiry = "expiry"
+)
+
 type peer struct {
 	entry               bool
 	lastHeard           int64
 	lastReaderHeartbeat int64
-	revision            uint64
+	position            catalog.Position
+	// lostDigest identifies the peer's lost items, mergedDigest those of them that were
+	// merged last; see catalog.LostDigest.
+	lostDigest, mergedDigest uint64
 }
 
 // Directory holds a process's copy of the store's content and its list of peers,
@@ -122,7 +133,7 @@
 	seeds    []netip.Addr
 	storeOK  bool
 	stopping bool
-	// storeBehind is set while the store returns lower revisions than known ones,
+	// storeBehind is set while the store returns earlier positions than known ones,
 	// unconfirmed while the catalog is older than confirmationBound.
 	storeBehind bool
 	unconfirmed bool
@@ -142,8 +153,10 @@
 
 type counters struct {
 	heartbeatsSent, heartbeatsReceived, badDatagrams, pulls, pullsFailed, pushes, storeLists, storeWatches, storeFailures tally.Counter
-	// storeBehind counts responses with a lower revision than the one known before the call.
-	storeBehind tally.Counter
+	// storeBehind counts responses with an earlier position than the one known before
+	// the call, storeRestores returns of the store from an older copy that this process
+	// learned from the store itself.
+	storeBehind, storeRestores tally.Counter
 	// viewAge is in seconds; viewUnconfirmed is 1 while it exceeds confirmationBound.
 	viewAge, viewUnconfirmed, peers tally.Gauge
 	// storeEra and storeRevision are those of the store's latest response.
@@ -175,8 +188,8 @@
 			pullsFailed: scope.Counter("pulls_failed"), pushes: scope.Counter("pushes"),
 			storeLists: scope.Counter("store_lists"), storeWatches: scope.Counter("store_watches"),
 			storeFailures: scope.Counter("store_failures"),
-			storeBehind:   scope.Counter("store_behind"),
-			viewAge:       scope.Gauge("view_age_seconds"), viewUnconfirmed: scope.Gauge("view_unconfirmed"), peers: scope.Gauge("peers"),
+			storeBehind:   scope.Counter("store_behind"), storeRestores: scope.Counter("store_restores"),
+			viewAge: scope.Gauge("view_age_seconds"), viewUnconfirmed: scope.Gauge("view_unconfirmed"), peers: scope.Gauge("peers"),
 			storeEra: scope.Gauge("store_response_era"), storeRevision: scope.Gauge("store_response_revision"),
 		},
 	}, nil
@@ -222,10 +235,10 @@
 }
 
 // publishUpdate publishes the state of the catalog, with a new view if the
-// revision differs from before; d.mu is held.
-func (d *Directory) publishUpdate(before uint64, changes []catalog.Change, source string, now int64) {
+// position differs from before or the content changed; d.mu is held.
+func (d *Directory) publishUpdate(before catalog.Position, changes []catalog.Change, source string, now int64) {
 	u := Update{AsOf: d.catalog.AsOf(), Changes: changes, Source: source}
-	if d.catalog.Revision() != before {
+	if d.catalog.Position() != before || len(changes) > 0 {
 		u.View = d.catalog.View(now, d.settings.AgentPort)
 		d.setAgents(u.View)
 	}
--- a/internal/exchange/heartbeat.go
+++ b/internal/exchange/heartbeat.go
@@ -20,7 +20,11 @@
 		Entry:    d.settings.Entry,
 		Reader:   d.isActiveReader(now),
 		Stopping: d.stopping,
-		Revision: d.catalog.Revision(),
+		Era:      d.catalog.Position().Era,
+		Revision: d.catalog.Position().Revision,
+	}
+	if m.LostDigest = d.catalog.LostDigest(); m.LostDigest != 0 {
+		m.EraAgeMs = uint32(d.catalog.EraAge(now).Milliseconds())
 	}
 	if d.settings.SilentMembers != nil {
 		m.Silent = d.settings.SilentMembers()
@@ -42,24 +46,24 @@
 // isActiveReader reports whether peers may rely on this process to read the
 // store; d.mu is held.
 func (d *Directory) isActiveReader(now int64) bool {
-	return !d.stopping && d.storeOK && d.catalog.Revision() > 0 && d.election.isReader(d.readerPeers(), now) &&
+	return !d.stopping && d.storeOK && d.catalog.Position().Known() && d.election.isReader(d.readerPeers(), now) &&
 		time.Duration(now-d.catalog.AsOf()) <= staleAfter
 }
 
 // relayFanOut returns the number of peers to which a process relays a change
 // that it received from a peer. With its first view it contacts all of them,
 // because peers that it has not answered before consider it silent.
-func relayFanOut(before uint64) int {
-	if before == 0 {
+func relayFanOut(before catalog.Position) int {
+	if !before.Known() {
 		return maxFanOut
 	}
 	return relayPeers
 }
 
-// push returns the changes after revision before and the peers to send them to;
+// push returns the changes after position before and the peers to send them to;
 // d.mu is held.
-func (d *Directory) push(before uint64, now int64, fanOut int) (*schema.Exchange, []netip.Addr) {
-	if d.catalog.Revision() == before {
+func (d *Directory) push(before catalog.Position, now int64, fanOut int) (*schema.Exchange, []netip.Addr) {
+	if d.catalog.Position() == before {
 		return nil, nil
 	}
 	d.counters.pushes.Inc(1)
@@ -68,15 +72,15 @@
 
 // changesSince returns a heartbeat that includes the changes after base if they
 // fit into a datagram; otherwise the receiver pulls them. d.mu is held.
-func (d *Directory) changesSince(base uint64, now int64) *schema.Exchange {
+func (d *Directory) changesSince(base catalog.Position, now int64) *schema.Exchange {
 	m := d.heartbeat(now)
 	items, ok := d.catalog.Since(base)
-	if !ok || base == 0 {
+	if !ok || !base.Known() {
 		return m
 	}
 	full := proto.Clone(m).(*schema.Exchange)
-	full.BaseRevision = base
-	setItems(full, items)
+	full.BaseEra, full.BaseRevision = base.Era, base.Revision
+	full.Items = schemaItems(items)
 	if proto.Size(full) > maxDatagram {
 		return m
 	}
@@ -126,8 +130,9 @@
 			delete(d.peers, address)
 		}
 	}
-	if d.catalog.HasRetired() {
-		d.publish(Update{AsOf: d.catalog.AsOf(), View: d.catalog.View(now, d.settings.AgentPort)})
+	if d.catalog.ChangesWithTime() {
+		changes := d.catalog.Expire(now)
+		d.publish(Update{AsOf: d.catalog.AsOf(), Changes: changes, Source: sourceExpiry, View: d.catalog.View(now, d.settings.AgentPort)})
 	}
 	d.recordViewAge(now)
 	d.counters.peers.Update(float64(len(d.peers)))
@@ -163,7 +168,7 @@
 	d.counters.viewAge.Update(age.Seconds())
 	if unconfirmed := age > confirmationBound; unconfirmed != d.unconfirmed {
 		d.unconfirmed = unconfirmed
-		fields := []zap.Field{zap.Duration("view_age", age), zap.Uint64("revision", d.catalog.Revision())}
+		fields := []zap.Field{zap.Duration("view_age", age), zap.Uint64("era", d.catalog.Position().Era), zap.Uint64("revision", d.catalog.Position().Revision)}
 		if unconfirmed {
 			d.counters.viewUnconfirmed.Update(1)
 			d.log.Warn("view is not confirmed by the store or a peer", fields...)
@@ -203,7 +208,7 @@
 			}
 		}
 	}
-	if !known || d.catalog.Revision() == 0 || d.settings.Entry {
+	if !known || !d.catalog.Position().Known() || d.settings.Entry {
 		recipients = append(recipients, d.seeds...)
 	}
 	return unique(recipients, d.election.self)
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/heathergw/heathergw/internal/catalog"
 	"github.com/heathergw/heathergw/internal/node"
 	"github.com/heathergw/heathergw/schema"
 )
@@ -26,7 +27,8 @@
 	// maxPullBytes bounds a response: a configuration of 1 MB and the targets of
 	// a fleet of the intended size, with a margin.
 	maxPullBytes = 8 << 20
-	// requestSize is the size of a request: the revision that the requester has.
+	// requestSize is the size of a request: the revision that the requester has in the
+	// responder's era, or 0 for a snapshot.
 	requestSize = 8
 )
 
@@ -62,20 +64,28 @@
 
 func (d *Directory) pull(ctx context.Context, from netip.Addr) error {
 	d.mu.Lock()
-	current := d.catalog.Revision()
-	ahead := d.peers[from] == nil || d.peers[from].revision > current
-	d.mu.Unlock()
-	if !ahead {
+	current := d.catalog.Position()
+	peer := d.peers[from]
+	if peer != nil && !current.Before(peer.position) && !d.lacksLost(peer) {
+		d.mu.Unlock()
 		return nil // the changes have arrived by other means
 	}
-	m, err := fetchChanges(ctx, netip.AddrPortFrom(from, d.settings.Listen.Port()), current)
+	base := uint64(0) // requests a snapshot
+	if peer != nil && peer.position.Era == current.Era {
+		base = current.Revision
+	}
+	d.mu.Unlock()
+	m, err := fetchChanges(ctx, netip.AddrPortFrom(from, d.settings.Listen.Port()), base)
 	if err != nil {
 		return err
 	}
 	now := node.Clock()
 	d.mu.Lock()
-	before := d.catalog.Revision()
+	before := d.catalog.Position()
 	changes, _ := d.apply(m, now)
+	if peer := d.peers[from]; peer != nil {
+		peer.mergedDigest = m.GetLostDigest()
+	}
 	d.publishUpdate(before, changes, from.String(), now)
 	push, recipients := d.push(before, now, relayFanOut(before))
 	d.mu.Unlock()
@@ -169,16 +179,20 @@
 	return out.Bytes(), nil
 }
 
+// changesOrSnapshot returns the changes after a revision of this process's era, or
+// everything if they are not available, and the items that the store lost.
 func (d *Directory) changesOrSnapshot(base uint64) *schema.Exchange {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m := d.heartbeat(node.Clock())
-	if items, ok := d.catalog.Since(base); ok && base > 0 {
-		m.BaseRevision = base
-		setItems(m, items)
+	m.Lost = schemaItems(d.catalog.Lost())
+	era := d.catalog.Position().Era
+	if items, ok := d.catalog.Since(catalog.Position{Era: era, Revision: base}); ok && base > 0 {
+		m.BaseEra, m.BaseRevision = era, base
+		m.Items = schemaItems(items)
 		return m
 	}
 	m.Snapshot = true
-	setItems(m, d.catalog.Snapshot())
+	m.Items = schemaItems(d.catalog.Snapshot())
 	return m
 }
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -44,22 +44,23 @@
 	now := node.Clock()
 	d.mu.Lock()
 	d.recordPeer(&m, from, now)
-	before := d.catalog.Revision()
+	before := d.catalog.Position()
 	changes, complete := d.apply(&m, now)
 	var push, reply *schema.Exchange
 	var recipients []netip.Addr
-	if d.catalog.Revision() != before {
+	if d.catalog.Position() != before {
 		d.publishUpdate(before, changes, from.String(), now)
 		push, recipients = d.push(before, now, relayFanOut(before))
 	} else {
 		d.publish(Update{AsOf: d.catalog.AsOf()})
 	}
 	switch {
-	case m.GetAsk() && d.catalog.Revision() > m.GetRevision():
-		reply = d.changesSince(m.GetRevision(), now)
+	case m.GetAsk() && positionOf(&m).Before(d.catalog.Position()):
+		reply = d.changesSince(positionOf(&m), now)
 	case m.GetProbe():
 		reply = d.heartbeat(now)
 	}
+	complete = complete && !d.lacksLost(d.peer(from))
 	d.mu.Unlock()
 	if !complete {
 		d.requestPull(from)
@@ -74,7 +75,8 @@
 // d.mu is held.
 func (d *Directory) recordPeer(m *schema.Exchange, from netip.Addr, now int64) {
 	p := d.peer(from)
-	p.lastHeard, p.entry, p.revision = now, m.GetEntry(), m.GetRevision()
+	p.lastHeard, p.entry, p.position = now, m.GetEntry(), positionOf(m)
+	p.lostDigest = m.GetLostDigest()
 	p.lastReaderHeartbeat = 0
 	if m.GetReader() && !m.GetStopping() {
 		p.lastReaderHeartbeat = now
@@ -103,35 +105,56 @@
 }
 
 // apply applies the items of m to the catalog. It reports false if the sender has
-// a newer revision that m does not fully contain; d.mu is held.
+// a later position that m does not fully contain; d.mu is held.
 func (d *Directory) apply(m *schema.Exchange, now int64) ([]catalog.Change, bool) {
 	asOf := now - int64(m.GetAgeMs())*int64(time.Millisecond)
-	switch current := d.catalog.Revision(); {
-	case m.GetRevision() < current:
-		return nil, true
-	case m.GetRevision() == current:
-		d.catalog.Confirm(current, asOf)
+	var changes []catalog.Change
+	switch position := positionOf(m); {
+	case position.Before(d.catalog.Position()):
 		return nil, true
+	case position == d.catalog.Position():
+		d.catalog.Confirm(position, asOf)
 	case m.GetSnapshot():
-		return d.catalog.Replace(itemsOf(m), m.GetRevision(), asOf), true
+		changes = d.catalog.Replace(catalogItems(m.GetItems()), position, asOf)
 	case m.GetBaseRevision() == 0:
 		return nil, false
 	default:
-		return d.catalog.Apply(m.GetBaseRevision(), m.GetRevision(), itemsOf(m), asOf)
+		base := catalog.Position{Era: m.GetBaseEra(), Revision: m.GetBaseRevision()}
+		var ok bool
+		if changes, ok = d.catalog.Apply(base, position, catalogItems(m.GetItems()), asOf); !ok {
+			return nil, false
+		}
 	}
+	if len(m.GetLost()) > 0 {
+		eraAge := time.Duration(m.GetEraAgeMs()) * time.Millisecond
+		changes = append(changes, d.catalog.MergeLost(catalogItems(m.GetLost()), eraAge, now)...)
+	}
+	return changes, true
+}
+
+// lacksLost reports whether a peer at the same position keeps items that the store
+// lost and that this process has not merged; d.mu is held.
+func (d *Directory) lacksLost(p *peer) bool {
+	return p.lostDigest != 0 && p.position == d.catalog.Position() &&
+		p.lostDigest != d.catalog.LostDigest() && p.lostDigest != p.mergedDigest
+}
+
+func positionOf(m *schema.Exchange) catalog.Position {
+	return catalog.Position{Era: m.GetEra(), Revision: m.GetRevision()}
 }
 
-func itemsOf(m *schema.Exchange) []catalog.Item {
-	items := make([]catalog.Item, 0, len(m.GetItems()))
-	for _, it := range m.GetItems() {
+func catalogItems(list []*schema.StoreItem) []catalog.Item {
+	items := make([]catalog.Item, 0, len(list))
+	for _, it := range list {
 		items = append(items, catalog.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Deleted: it.GetDeleted()})
 	}
 	return items
 }
 
-func setItems(m *schema.Exchange, items []catalog.Item) {
-	m.Items = make([]*schema.StoreItem, 0, len(items))
+func schemaItems(items []catalog.Item) []*schema.StoreItem {
+	list := make([]*schema.StoreItem, 0, len(items))
 	for _, it := range items {
-		m.Items = append(m.Items, &schema.StoreItem{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
+		list = append(list, &schema.StoreItem{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
 	}
+	return list
 }
--- a/internal/exchange/storeread.go
+++ b/internal/exchange/storeread.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -14,12 +15,20 @@
 	"github.com/heathergw/heathergw/internal/wait"
 )
 
+// errNewEra means that the store came back from an older copy. All items must be
+// listed, because the changes after a revision of the former era are not known.
+var errNewEra = errors.New("store has begun a new era")
+
+// errFormerEra means that a response is of an era before the known one. It is not
+// used: a late response, or a store that lost count of its eras.
+var errFormerEra = errors.New("store response is of a former era")
+
 // readLoop reads the store while shouldRead reports that this process must.
 func (d *Directory) readLoop(ctx context.Context) error {
 	list := true
 	retry := retryMin
 	for ctx.Err() == nil {
-		shouldRead, reader, revision := d.readDecision(node.Clock())
+		shouldRead, reader, known := d.readDecision(node.Clock())
 		if !shouldRead {
 			retry = retryMin
 			if wait.For(ctx, readInterval/2) != nil {
@@ -27,19 +36,19 @@
 			}
 			continue
 		}
-		err := d.readOnce(ctx, d.store, list || revision == 0, revision, configstore.WatchWait)
+		limit := retryMax
+		if reader {
+			limit = retryMaxReader
+		}
+		err := d.readOnce(ctx, d.store, list || !known.Known(), known, configstore.WatchWait)
 		switch {
 		case ctx.Err() != nil:
 			return nil
-		case errors.Is(err, configstore.ErrHistoryLost):
-			d.log.Info("store discarded its history; listing all items", zap.Uint64("revision", revision))
+		case errors.Is(err, configstore.ErrHistoryLost) || errors.Is(err, errNewEra):
+			d.log.Info("listing all items of the store", zap.Error(err), zap.Uint64("era", known.Era), zap.Uint64("revision", known.Revision))
 			list = true
 			continue
 		case err != nil:
-			limit := retryMax
-			if reader {
-				limit = retryMaxReader
-			}
 			if wait.For(ctx, retry/2+rand.N(retry)) != nil {
 				return nil
 			}
@@ -54,11 +63,11 @@
 	return nil
 }
 
-func (d *Directory) readDecision(now int64) (shouldRead, reader bool, revision uint64) {
+func (d *Directory) readDecision(now int64) (shouldRead, reader bool, known catalog.Position) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	peers := d.readerPeers()
-	return !d.stopping && d.election.shouldRead(peers, d.catalog.AsOf(), now), d.election.isReader(peers, now), d.catalog.Revision()
+	return !d.stopping && d.election.shouldRead(peers, d.catalog.AsOf(), now), d.election.isReader(peers, now), d.catalog.Position()
 }
 
 func (d *Directory) readerPeers() []readerPeer {
@@ -71,9 +80,9 @@
 	return list
 }
 
-// readOnce makes one call to the store and applies the response. wait is how long
-// a watch waits for a change.
-func (d *Directory) readOnce(ctx context.Context, store *configstore.Store, list bool, revision uint64, wait time.Duration) error {
+// readOnce makes one call to the store and applies the response: a list, or a watch
+// for changes after the known position that waits for at most wait.
+func (d *Directory) readOnce(ctx context.Context, store *configstore.Store, list bool, known catalog.Position, wait time.Duration) error {
 	startedAt := node.Clock()
 	var response configstore.Response
 	var err error
@@ -82,9 +91,16 @@
 		response, err = store.List(ctx)
 	} else {
 		d.counters.storeWatches.Inc(1)
-		response, err = store.Watch(ctx, revision, wait)
+		response, err = store.Watch(ctx, known.Revision, wait)
 	}
 	now := node.Clock()
+	position := catalog.Position{Era: response.Era, Revision: response.Revision}
+	if !response.HasEra {
+		position.Era = known.Era
+	}
+	if err == nil {
+		err = checkEra(list, known, position)
+	}
 	d.recordStoreResult(ctx, err, time.Duration(now-startedAt))
 	if err != nil {
 		return err
@@ -95,32 +111,45 @@
 		asOf = max(startedAt, now-int64(maxResponseLatency))
 	}
 	d.mu.Lock()
-	d.recordStoreRevision(response, revision)
-	before := d.catalog.Revision()
+	d.recordStorePosition(position, known)
+	before := d.catalog.Position()
 	var changes []catalog.Change
 	if list {
-		changes = d.catalog.Replace(response.Items, response.Revision, asOf)
+		changes = d.catalog.Replace(response.Items, position, asOf)
 	} else {
-		changes, _ = d.catalog.Apply(revision, response.Revision, response.Items, asOf)
+		changes, _ = d.catalog.Apply(known, position, response.Items, asOf)
 	}
-	d.publishUpdate(before, changes, "store", now)
+	d.publishUpdate(before, changes, sourceStore, now)
 	push, recipients := d.push(before, now, maxFanOut)
 	d.mu.Unlock()
 	d.sendAll(push, recipients)
 	return nil
 }
 
+// checkEra returns an error if a response for the known position cannot be used
+// because of its era.
+func checkEra(list bool, known, response catalog.Position) error {
+	switch {
+	case response.Era < known.Era:
+		return fmt.Errorf("%w: %d, known is %d", errFormerEra, response.Era, known.Era)
+	case response.Era > known.Era && !list:
+		return fmt.Errorf("%w: %d, known is %d", errNewEra, response.Era, known.Era)
+	default:
+		return nil
+	}
+}
+
 // recordStoreResult counts failed calls and logs when the store becomes
 // unreachable or reachable again.
 func (d *Directory) recordStoreResult(ctx context.Context, err error, took time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
-	ok := err == nil || errors.Is(err, configstore.ErrHistoryLost)
+	ok := err == nil || errors.Is(err, configstore.ErrHistoryLost) || errors.Is(err, errNewEra)
 	d.mu.Lock()
 	changed := ok != d.storeOK
 	d.storeOK = ok
-	revision := d.catalog.Revision()
+	revision := d.catalog.Position().Revision
 	d.mu.Unlock()
 	switch {
 	case !ok:
@@ -133,22 +162,29 @@
 	}
 }
 
-// recordStoreRevision reports the era and revision of a response, and when the
-// store's revision is lower than the one that was known before the call; d.mu is held.
-func (d *Directory) recordStoreRevision(r configstore.Response, known uint64) {
-	d.counters.storeEra.Update(float64(r.Era))
-	d.counters.storeRevision.Update(float64(r.Revision))
-	behind := r.Revision < known
+// recordStorePosition reports the position of a response, and when it is earlier than
+// the one that was known before the call; d.mu is held.
+func (d *Directory) recordStorePosition(response, known catalog.Position) {
+	d.counters.storeEra.Update(float64(response.Era))
+	d.counters.storeRevision.Update(float64(response.Revision))
+	fields := []zap.Field{
+		zap.Uint64("store_era", response.Era), zap.Uint64("store_revision", response.Revision),
+		zap.Uint64("era", known.Era), zap.Uint64("revision", known.Revision),
+	}
+	if known.Known() && response.Era > known.Era {
+		d.counters.storeRestores.Inc(1)
+		d.log.Warn("store came back from an older copy", fields...)
+	}
+	behind := response.Before(known)
 	if behind {
 		d.counters.storeBehind.Inc(1)
 	}
 	if behind != d.storeBehind {
 		d.storeBehind = behind
-		fields := []zap.Field{zap.Uint64("era", r.Era), zap.Uint64("store_revision", r.Revision), zap.Uint64("revision", known)}
 		if behind {
-			d.log.Warn("store returned a lower revision than the known one", fields...)
+			d.log.Warn("store returned an earlier position than the known one", fields...)
 		} else {
-			d.log.Info("store returns the known revision or a later one", fields...)
+			d.log.Info("store returns the known position or a later one", fields...)
 		}
 	}
 }
@@ -174,12 +210,16 @@
 		case since = <-d.confirms:
 		}
 		d.mu.Lock()
-		revision, asOf := d.catalog.Revision(), d.catalog.AsOf()
+		known, asOf := d.catalog.Position(), d.catalog.AsOf()
 		d.mu.Unlock()
-		if revision == 0 || asOf >= since {
+		if !known.Known() || asOf >= since {
 			continue // the first view comes from the read loop
 		}
-		if err := d.readOnce(ctx, d.confirmStore, false, revision, time.Millisecond); err != nil {
+		err := d.readOnce(ctx, d.confirmStore, false, known, time.Millisecond)
+		if errors.Is(err, errNewEra) || errors.Is(err, configstore.ErrHistoryLost) {
+			err = d.readOnce(ctx, d.confirmStore, true, known, 0)
+		}
+		if err != nil {
 			retry = min(retry*2, retryMax)
 		} else {
 			retry = confirmInterval
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -33,6 +33,9 @@
 
 // StoreStatus describes the copy of the store that a process uses.
 type StoreStatus struct {
+	// Era counts how often the store came back from an older copy; Revision is the
+	// store's revision within the era.
+	Era                  uint64 `json:"era"`
 	Revision             uint64 `json:"revision"`
 	ConfigurationVersion uint64 `json:"configuration_version"`
 	// AgeMillis is the time in milliseconds since the store last confirmed the copy.
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -81,7 +81,7 @@
 		}
 		return Verdict{Action: ActionDeliver, Reason: ReasonOwnHost, State: state}
 	}
-	if v != nil && v.ConfigurationKnown && v.Route(p.Key.Destination) == nil && !state.hasNewerRevision(v.Revision) {
+	if v != nil && v.ConfigurationKnown && v.Route(p.Key.Destination) == nil && !state.hasLaterPosition(v.At) {
 		_, verdict := a.lookupRoute(v, p, now)
 		return verdict
 	}
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -38,7 +38,7 @@
 	}
 	verdict.To, verdict.Member = m.Agent, m
 	verdict.State = SearchState{
-		Service: catalog.ServiceHash(m.Service.Name), Probe: e.Reach.Probe(m.ID, now), Revision: revisionLowBits(v.Revision),
+		Service: catalog.ServiceHash(m.Service.Name), Probe: e.Reach.Probe(m.ID, now), Position: positionLowBits(v.At),
 	}
 	return verdict
 }
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -105,7 +105,7 @@
 	for _, it := range f.items {
 		items = append(items, it)
 	}
-	k.Replace(items, f.revision, f.now)
+	k.Replace(items, catalog.Position{Revision: f.revision}, f.now)
 	return k.View(f.now, testPort)
 }
 
@@ -311,18 +311,23 @@
 	f.c.Check(v.Reason, qt.Equals, ReasonNoRoute, qt.Commentf("the agent knows that the route was removed"))
 }
 
-// TestSearchStateRevisions guards against a wrong order of revisions when their
+// TestSearchStatePositions guards against a wrong order of positions when their
 // low bits wrap.
-func TestSearchStateRevisions(t *testing.T) {
+func TestSearchStatePositions(t *testing.T) {
 	c := qt.New(t)
-	state := SearchState{Revision: revisionLowBits(4095)}
-	c.Check(state.hasNewerRevision(4094), qt.IsTrue)
-	c.Check(state.hasNewerRevision(4095), qt.IsFalse)
-	c.Check(state.hasNewerRevision(4097), qt.IsFalse)
-	state.mergeRevision(4097)
-	c.Check(state.hasNewerRevision(4095), qt.IsTrue)
-	state.mergeRevision(4096)
-	c.Check(state.hasNewerRevision(4096), qt.IsTrue, qt.Commentf("the newest revision is kept"))
+	revision := func(r uint64) catalog.Position { return catalog.Position{Era: 1, Revision: r} }
+	state := SearchState{Position: positionLowBits(revision(4095))}
+	c.Check(state.hasLaterPosition(revision(4094)), qt.IsTrue)
+	c.Check(state.hasLaterPosition(revision(4095)), qt.IsFalse)
+	c.Check(state.hasLaterPosition(revision(4097)), qt.IsFalse)
+	state.mergePosition(revision(4097))
+	c.Check(state.hasLaterPosition(revision(4095)), qt.IsTrue)
+	state.mergePosition(revision(4096))
+	c.Check(state.hasLaterPosition(revision(4096)), qt.IsTrue, qt.Commentf("the newest revision is kept"))
+	restored := catalog.Position{Era: 2, Revision: 4090}
+	c.Check(state.hasLaterPosition(restored), qt.IsFalse, qt.Commentf("a later era is later although its revision is lower"))
+	state.mergePosition(restored)
+	c.Check(state.hasLaterPosition(revision(4097)), qt.IsTrue)
 }
 
 // TestOpeningIsRefusedOnlyWhenEveryHostReturnedIt guards against openings that
@@ -378,7 +383,7 @@
 // TestSearchStateRoundTrip guards against fields that are lost in encoding.
 func TestSearchStateRoundTrip(t *testing.T) {
 	c := qt.New(t)
-	for _, state := range []SearchState{{}, {Hops: 63}, {Hops: maxHops, Inconclusive: true}, {Service: 255, Probe: true, FullSearch: true, Duplicate: true}, {Revision: stateRevisionMask, Hops: 255}, {Hops: 1, Service: 7, Probe: true, Inconclusive: true}} {
+	for _, state := range []SearchState{{}, {Hops: 63}, {Hops: maxHops, Inconclusive: true}, {Service: 255, Probe: true, FullSearch: true, Duplicate: true}, {Position: statePositionMask, Hops: 255}, {Hops: 1, Service: 7, Probe: true, Inconclusive: true}} {
 		c.Check(DecodeSearchState(state.Encode()), qt.Equals, state)
 	}
 }
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -15,12 +15,12 @@
 	v := a.View.Load()
 	route, verdict := a.lookupRoute(v, p, now)
 	switch {
-	case route == nil && v != nil && state.hasNewerRevision(v.Revision):
+	case route == nil && v != nil && state.hasLaterPosition(v.At):
 		return Verdict{Action: ActionHold, Reason: ReasonSenderNewerView}
 	case route == nil:
 		return verdict
 	}
-	state.mergeRevision(v.Revision)
+	state.mergePosition(v.At)
 	// A stale view may lack a member between this one and the next.
 	state.Inconclusive = state.Inconclusive || !a.viewFresh(now)
 	verdict = Verdict{Action: ActionForward, Reason: ReasonForwarded, State: state}
--- a/internal/relay/search_state.go
+++ b/internal/relay/search_state.go
@@ -1,5 +1,7 @@
 package relay
 
+import "github.com/heathergw/heathergw/internal/catalog"
+
 // Layout of the encoded 32 bits of a SearchState.
 const (
 	stateHopsMask        = 1<<8 - 1
@@ -8,9 +10,9 @@
 	stateProbeBit        = 1 << 17
 	stateFullSearchBit   = 1 << 18
 	stateDuplicateBit    = 1 << 19
-	// stateRevisionShift is the position of the low bits of a revision.
-	stateRevisionShift = 20
-	stateRevisionMask  = 1<<12 - 1
+	// statePositionShift is the offset of the low bits of a store position.
+	statePositionShift = 20
+	statePositionMask  = 1<<12 - 1
 )
 
 // maxHops bounds the candidates that one packet visits, and so the work that a
@@ -35,9 +37,9 @@
 	Duplicate bool
 	// Probe requests an answer from the receiving agent to the sender.
 	Probe bool
-	// Revision holds the low bits of the newest revision among the processes on
-	// the packet's path; see hasNewerRevision.
-	Revision uint16
+	// Position holds the low bits of the latest position of the store among the
+	// processes on the packet's path; see hasLaterPosition.
+	Position uint16
 	// Service is the short hash of the name of the service that the packet is
 	// for.
 	Service uint8
@@ -46,7 +48,7 @@
 // Encode returns the value of Packet.Echo.
 func (s SearchState) Encode() uint32 {
 	v := uint32(min(s.Hops, stateHopsMask)) | uint32(s.Service)<<stateServiceShift |
-		uint32(s.Revision&stateRevisionMask)<<stateRevisionShift
+		uint32(s.Position&statePositionMask)<<statePositionShift
 	if s.Inconclusive {
 		v |= stateInconclusiveBit
 	}
@@ -67,7 +69,7 @@
 	return SearchState{
 		Hops:         int(v & stateHopsMask),
 		Service:      uint8(v >> stateServiceShift),
-		Revision:     uint16(v >> stateRevisionShift & stateRevisionMask),
+		Position:     uint16(v >> statePositionShift & statePositionMask),
 		Inconclusive: v&stateInconclusiveBit != 0,
 		Probe:        v&stateProbeBit != 0,
 		FullSearch:   v&stateFullSearchBit != 0,
@@ -75,20 +77,27 @@
 	}
 }
 
-// hasNewerRevision reports whether a process on the packet's path had a later
-// revision than this one. The low bits suffice while processes are less than
-// 2,048 changes apart.
-func (s SearchState) hasNewerRevision(revision uint64) bool {
-	ahead := (s.Revision - revisionLowBits(revision)) & stateRevisionMask
-	return ahead != 0 && ahead < (stateRevisionMask+1)/2
+// hasLaterPosition reports whether a process on the packet's path had a later
+// position than this one. The low bits suffice while processes are less than 2,048
+// changes apart.
+func (s SearchState) hasLaterPosition(p catalog.Position) bool {
+	ahead := (s.Position - positionLowBits(p)) & statePositionMask
+	return ahead != 0 && ahead < (statePositionMask+1)/2
 }
 
-// mergeRevision records the revision of a process on the packet's path.
-func (s *SearchState) mergeRevision(revision uint64) {
-	if !s.hasNewerRevision(revision) {
-		s.Revision = revisionLowBits(revision)
+// mergePosition records the position of a process on the packet's path.
+func (s *SearchState) mergePosition(p catalog.Position) {
+	if !s.hasLaterPosition(p) {
+		s.Position = positionLowBits(p)
 	}
 }
 
-// revisionLowBits returns the bits of a revision that SearchState.Revision holds.
-func revisionLowBits(revision uint64) uint16 { return uint16(revision & stateRevisionMask) }
+// maxLostRevisions is the number of revisions by which a position in the next era
+// counts as later than one with the same revision. A store that comes back from an
+// older copy is assumed to have lost fewer changes.
+const maxLostRevisions = 512
+
+// positionLowBits returns the bits of a position that SearchState.Position holds.
+func positionLowBits(p catalog.Position) uint16 {
+	return uint16((p.Revision + p.Era*maxLostRevisions) & statePositionMask)
+}
--- a/internal/relaynode/malformed_test.go
+++ b/internal/relaynode/malformed_test.go
@@ -84,7 +84,7 @@
 		items = append(items, catalog.Item{Key: address, Revision: 2})
 	}
 	c := catalog.New(func(item catalog.Item) (catalog.Record, error) { return records[item.Key], nil })
-	c.Replace(items, 2, int64(time.Hour))
+	c.Replace(items, catalog.Position{Revision: 2}, int64(time.Hour))
 	return c.View(int64(time.Hour), agentPort)
 }
 
--- a/internal/relaynode/process.go
+++ b/internal/relaynode/process.go
@@ -185,13 +185,14 @@
 		if p.onView != nil {
 			p.onView(u.View)
 		}
-		if u.Source != "" {
+		if len(u.Changes) > 0 {
 			p.viewSource.Store(&u.Source)
 		}
-		p.counters.revision.Update(float64(u.View.Revision))
+		p.counters.revision.Update(float64(u.View.At.Revision))
+		p.counters.era.Update(float64(u.View.At.Era))
 		p.counters.version.Update(float64(u.View.Version))
 		if first {
-			p.log.Info("first view", zap.Uint64("revision", u.View.Revision), zap.String("source", u.Source))
+			p.log.Info("first view", zap.Uint64("era", u.View.At.Era), zap.Uint64("revision", u.View.At.Revision), zap.String("source", u.Source))
 		}
 	}
 	if confirmed || u.View != nil {
--- a/internal/relaynode/status.go
+++ b/internal/relaynode/status.go
@@ -56,10 +56,10 @@
 		Targets: []node.TargetStatus{}, Counters: counters, Audit: p.audit.Records(),
 	}
 	if v := p.core.View.Load(); v != nil {
-		s.Sequence = v.Revision
+		s.Sequence = v.At.Revision
 		now := node.Clock()
 		s.Store = &node.StoreStatus{
-			Revision: v.Revision, ConfigurationVersion: v.Version,
+			Era: v.At.Era, Revision: v.At.Revision, ConfigurationVersion: v.Version,
 			AgeMillis: (now - p.core.AsOf.Load()) / int64(time.Millisecond),
 		}
 		if source := p.viewSource.Load(); source != nil {
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -22,8 +22,9 @@
 type counters struct {
 	badDatagram, badStoreItem, badSettings tally.Counter
 	sendFailed                             tally.Counter
-	// revision is the store's revision in force, version that of the configuration.
-	revision, version tally.Gauge
+	// era and revision are the store's position in force, version is that of the
+	// configuration.
+	era, revision, version tally.Gauge
 	// responseTime is the time from the delivery of a request to the first packet
 	// of the host's response; queueTime is the time an opening spent in the queue.
 	responseTime, queueTime tally.Histogram
@@ -52,6 +53,7 @@
 		badSettings:  scope.Counter("bad_settings"),
 		sendFailed:   scope.Counter("send_failed"),
 		revision:     scope.Gauge("store_revision"),
+		era:          scope.Gauge("store_era"),
 		version:      scope.Gauge("configuration_version"),
 		verdicts:     map[relay.Reason]tally.Counter{},
 		responseTime: scope.Histogram("request_to_answer", latencyBuckets),
@@ -241,7 +243,7 @@
 		fields = append(fields, zap.Int("copy", p.Attempt()))
 	}
 	if view := w.core.View.Load(); view != nil {
-		fields = append(fields, zap.Uint64("revision", view.Revision),
+		fields = append(fields, zap.Uint64("era", view.At.Era), zap.Uint64("revision", view.At.Revision),
 			zap.Duration("view_age", time.Duration(now-w.core.AsOf.Load())))
 	}
 	if w.admission != nil && p.IsOpening() {
