Refuse a list of the store whose pages are of two eras

Cause: a list took the era and revision of its first page and appended pages of the restored content, so that a mixture of both could come into force as complete. Change: a page of another era fails the list, and it is read again. TestListAcrossRestoreIsRefused failed before (nil error, items of both contents).

--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -32,6 +32,10 @@
 // revision. The reader must list all items again.
 var ErrHistoryLost = errors.New("platform: the store no longer has the requested revisions")
 
+// ErrEraChanged means that the store came back from an older copy during a list, so
+// that the pages belong to different contents.
+var ErrEraChanged = errors.New("platform: the store came back from an older copy during the list")
+
 // StatusError is the error for a response with an unexpected HTTP status.
 type StatusError struct{ Status int }
 
@@ -89,6 +93,9 @@
 		if all.Revision == 0 {
 			all.Revision, all.Era, all.HasEra = page.Revision, page.Era, page.HasEra
 		}
+		if page.Era != all.Era || page.HasEra != all.HasEra {
+			return Response{}, fmt.Errorf("list: %w", ErrEraChanged)
+		}
 		all.Items = append(all.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			return all, nil
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -45,6 +45,35 @@
 	c.Check(s.Calls(loopback), qt.Equals, 3)
 }
 
+// Guards against a list whose pages belong to different contents, because the store
+// came back from an older copy between them.
+func TestListAcrossRestoreIsRefused(t *testing.T) {
+	c := qt.New(t)
+	s := platformtest.NewStore()
+	for i := range 6 {
+		s.Put("key-"+string(rune('a'+i)), []byte("v"))
+	}
+	older := s.Copy()
+	s.Put("key-g", []byte("v"))
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls++; calls == 2 {
+			s.Restore(older)
+		}
+		s.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	client, err := store.New(server.URL, nil)
+	c.Assert(err, qt.IsNil)
+	reader := store.NewStore(client, platform.Store{})
+	_, err = reader.List(context.Background())
+	c.Check(err, qt.ErrorIs, store.ErrEraChanged)
+	list, err := reader.List(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Check(list.Items, qt.HasLen, 6)
+	c.Check(list.Era, qt.Equals, uint64(2))
+}
+
 // Guards against a watch that misses changes, waits without end, or reports discarded
 // revisions as a valid response.
 func TestWatch(t *testing.T) {
