Delay repeated lists of a store that no longer has the known revision

Cause: a watch that got 410 was followed by a list at once, however often. Change: when the list before did not help, the next one waits like a failed call.

--- a/internal/exchange/directory_test.go
+++ b/internal/exchange/directory_test.go
@@ -231,3 +231,25 @@
 		inForce(version)
 	}
 }
+
+// Guards against calls without a delay to a store that came back with lower revisions
+// and does not say so.
+func TestStoreWithoutRevisionIsNotCalledInALoop(t *testing.T) {
+	c := qt.New(t)
+	s := platformtest.NewStore()
+	s.SetEraHeader(func(uint64) string { return "" })
+	s.PutConfiguration(3, nil)
+	older := s.Copy()
+	s.PutConfiguration(4, nil)
+	m := startMember(c, "127.11.1.1", true, s)
+	waitUntil(c, 3*time.Second, "first view", func() bool { return m.revision() == s.Revision() })
+	s.Restore(older)
+	time.Sleep(2 * time.Second) // until the delays have grown
+	loopback := netip.MustParseAddr("127.0.0.1")
+	before := s.Calls(loopback)
+	time.Sleep(3 * time.Second)
+	// Two calls each 0.35 s: half of the longest delay of a reader, and the time between
+	// two reads.
+	c.Check(s.Calls(loopback)-before <= 18, qt.IsTrue, qt.Commentf("%d calls in 3 s", s.Calls(loopback)-before))
+	c.Check(m.view.Load().Version, qt.Equals, uint64(4), qt.Commentf("revisions without an era only grow"))
+}
--- a/internal/exchange/storeread.go
+++ b/internal/exchange/storeread.go
@@ -26,6 +26,8 @@
 // readLoop reads the store while shouldRead reports that this process must.
 func (d *Directory) readLoop(ctx context.Context) error {
 	list := true
+	// listed is set when the latest successful call was a list.
+	listed := false
 	retry := retryMin
 	for ctx.Err() == nil {
 		shouldRead, reader, known := d.readDecision(node.Clock())
@@ -41,21 +43,26 @@
 			limit = retryMaxReader
 		}
 		err := d.readOnce(ctx, d.store, list || !known.Known(), known, configstore.WatchWait)
-		switch {
+		switch relist := errors.Is(err, configstore.ErrHistoryLost) || errors.Is(err, errNewEra); {
 		case ctx.Err() != nil:
 			return nil
-		case errors.Is(err, configstore.ErrHistoryLost) || errors.Is(err, errNewEra):
+		case relist && !listed:
 			d.log.Info("listing all items of the store", zap.Error(err), zap.Uint64("era", known.Era), zap.Uint64("revision", known.Revision))
 			list = true
 			continue
 		case err != nil:
+			// A list that another one has to follow is retried like a failed call.
+			list = list || relist
 			if wait.For(ctx, retry/2+rand.N(retry)) != nil {
 				return nil
 			}
 			retry = min(retry*2, limit)
 			continue
 		}
-		list, retry = false, retryMin
+		if !list {
+			retry = retryMin
+		}
+		listed, list = list, false
 		if wait.For(ctx, readInterval) != nil {
 			return nil
 		}
