Let readers contact their seeds; show that peers share what the store lost

What callers saw: nothing yet; found while writing TestPeersKnowWhatTheStoreLost. Cause: an entry that reads the store at once became a reader and sent heartbeats to the known peers only, never to its seeds. Two readers that did not know each other stayed so without an agent between them. Change: a reader's heartbeats also go to the seeds. TestSeedLearnsFromReader and TestPeersKnowWhatTheStoreLost failed before (3 s without the change); the latter also fails when lost items are not merged. TestUnusableEra: a missing era counts as the known one, a malformed or lower one is refused and confirms nothing. Items of a host whose order does not differ: draining follows ready.

--- a/internal/catalog/lost.go
+++ b/internal/catalog/lost.go
@@ -48,7 +48,8 @@
 }
 
 // supersedes reports whether the item was written after the store's one. A
-// configuration also stays in force in place of one that cannot be decoded.
+// configuration also stays in force in place of one that cannot be decoded. A host
+// whose items do not differ in order drains after it was ready.
 func (s *storedItem) supersedes(stored *storedItem) bool {
 	if stored == nil {
 		return true
@@ -58,8 +59,9 @@
 	case a.Configuration != nil:
 		return b.Configuration == nil || a.Configuration.Version > b.Configuration.Version
 	case a.Target != nil && b.Target != nil:
-		return cmp.Or(cmp.Compare(a.Target.HostStartedAtMillis, b.Target.HostStartedAtMillis),
-			cmp.Compare(a.Target.Sequence, b.Target.Sequence)) > 0
+		order := cmp.Or(cmp.Compare(a.Target.HostStartedAtMillis, b.Target.HostStartedAtMillis),
+			cmp.Compare(a.Target.Sequence, b.Target.Sequence))
+		return order > 0 || order == 0 && a.Target.Draining && !b.Target.Draining
 	default:
 		return false
 	}
--- a/internal/exchange/directory_test.go
+++ b/internal/exchange/directory_test.go
@@ -253,3 +253,90 @@
 	c.Check(s.Calls(loopback)-before <= 18, qt.IsTrue, qt.Commentf("%d calls in 3 s", s.Calls(loopback)-before))
 	c.Check(m.view.Load().Version, qt.Equals, uint64(4), qt.Commentf("revisions without an era only grow"))
 }
+
+// Guards against processes that use the older content of a restored store although a
+// peer knows what the store lost.
+func TestPeersKnowWhatTheStoreLost(t *testing.T) {
+	c := qt.New(t)
+	s := platformtest.NewStore()
+	host := func(i byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 12, 2, i}), 9000) }
+	s.PutConfiguration(3, nil)
+	s.PutTarget("i-1", "booking", "a", host(1), 4, "ready")
+	older := s.Copy()
+	s.PutConfiguration(4, nil)
+	s.PutTarget("i-1", "booking", "a", host(1), 4, "draining")
+	first := startMember(c, "127.12.1.1", true, s)
+	state := func(m *member) string {
+		v := m.view.Load()
+		if v == nil {
+			return "no view"
+		}
+		result := fmt.Sprint("version ", v.Version)
+		v.Members(func(t *catalog.Member) { result += " " + t.State.String() })
+		return result
+	}
+	const current = "version 4 draining"
+	waitUntil(c, 3*time.Second, "first view", func() bool { return state(first) == current })
+	s.Restore(older)
+	second := startMember(c, "127.12.1.2", true, s, "127.12.1.1")
+	third := startMember(c, "127.12.2.3", false, unavailable, "127.12.1.2")
+	waitUntil(c, 3*time.Second, "lost items at all processes", func() bool {
+		return state(first) == current && state(second) == current && state(third) == current
+	})
+	s.PutConfiguration(5, nil)
+	s.PutTarget("i-1", "booking", "a", host(1), 4, "draining")
+	waitUntil(c, 3*time.Second, "what was written again", func() bool {
+		return state(first) == "version 5 draining" && state(second) == state(first) && state(third) == state(first)
+	})
+}
+
+// Guards against a process that stops following the store, or goes back, because the
+// header with the era is missing, malformed or lower than before.
+func TestUnusableEra(t *testing.T) {
+	c := qt.New(t)
+	s := platformtest.NewStore()
+	s.PutConfiguration(3, nil)
+	s.Restore(s.Copy())
+	m := startMember(c, "127.13.1.1", true, s)
+	version := func(want uint64) func() bool {
+		return func() bool { v := m.view.Load(); return v != nil && v.Version == want }
+	}
+	waitUntil(c, 3*time.Second, "first view", version(3))
+	s.SetEraHeader(func(uint64) string { return "" })
+	s.PutConfiguration(4, nil)
+	waitUntil(c, 3*time.Second, "a change in a response without an era", version(4))
+	for _, unusable := range []string{"two", "-1", "1", "0"} {
+		s.SetEraHeader(func(uint64) string { return unusable })
+		asOf := m.asOf.Load()
+		time.Sleep(600 * time.Millisecond) // longer than a retry of a reader
+		s.PutConfiguration(9, nil)
+		time.Sleep(600 * time.Millisecond)
+		c.Check(m.view.Load().Version, qt.Equals, uint64(4), qt.Commentf("era %q", unusable))
+		c.Check(time.Duration(m.asOf.Load()-asOf) < time.Second, qt.IsTrue, qt.Commentf("era %q confirms nothing", unusable))
+	}
+	s.SetEraHeader(func(era uint64) string { return fmt.Sprint(era) })
+	waitUntil(c, 3*time.Second, "a change after the header is valid again", version(9))
+}
+
+// Guards against a reader that does not contact its seeds, which then get no changes
+// from it when the store refuses them.
+func TestSeedLearnsFromReader(t *testing.T) {
+	c := qt.New(t)
+	s := platformtest.NewStore()
+	s.PutConfiguration(3, nil)
+	var refused atomic.Bool
+	seed := startMember(c, "127.14.1.1", true, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refused.Load() {
+			unavailable(w, r)
+			return
+		}
+		s.ServeHTTP(w, r)
+	}))
+	waitUntil(c, 3*time.Second, "first view", func() bool { return seed.revision() == s.Revision() })
+	reader := startMember(c, "127.14.1.2", true, s, "127.14.1.1")
+	waitUntil(c, 3*time.Second, "first view", func() bool { return reader.revision() == s.Revision() })
+	refused.Store(true)
+	time.Sleep(2 * store.WatchWait) // until a watch that has begun is over
+	s.PutConfiguration(4, nil)
+	waitUntil(c, 3*time.Second, "a change", func() bool { return seed.view.Load().Version == 4 })
+}
--- a/internal/exchange/heartbeat.go
+++ b/internal/exchange/heartbeat.go
@@ -141,7 +141,7 @@
 	var recipients []netip.Addr
 	switch {
 	case m.Reader && now >= d.nextHeartbeat:
-		recipients = d.samplePeers(maxFanOut)
+		recipients = unique(append(d.samplePeers(maxFanOut), d.seeds...), d.election.self)
 		d.nextHeartbeat = now + int64(readerHeartbeatInterval)
 	case !m.Reader && now >= d.nextGossip:
 		recipients = d.gossipPeers()
