Read what the stub service recorded under its lock

Change: the tests read a copy taken under the lock. The other stubs were read through: httptest waits for its handlers, the platform, health and soak stand-ins lock every field.

--- a/internal/configstore/client_test.go
+++ b/internal/configstore/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -50,6 +51,14 @@
 	return service.responses[len(service.queries)-1], true
 }
 
+// recorded returns the queries and their times. A handler may still run after its
+// server was closed, so the fields are not read directly.
+func (service *stubService) recorded() ([]string, []time.Duration) {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	return slices.Clone(service.queries), slices.Clone(service.queryTimes)
+}
+
 func (service *stubService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	response, ok := service.next(r.URL.Path + "?" + r.URL.RawQuery)
 	if !ok {
@@ -165,16 +174,17 @@
 				cancel()
 				<-done
 				stop()
+				queries, _ := service.recorded()
 				c.Assert(updates[:len(test.updates)], qt.DeepEquals, test.updates)
 				for i, index := range test.indexes {
 					want := "/v1/kv/gw/bundle?raw"
 					if index != "" {
 						want += "&index=" + index + "&wait=30s"
 					}
-					c.Assert(service.queries[i], qt.Equals, want)
+					c.Assert(queries[i], qt.Equals, want)
 				}
 				counters := scope.Snapshot().Counters()
-				c.Assert(counters["platform.reads+"].Value(), qt.Equals, int64(len(service.queries)))
+				c.Assert(counters["platform.reads+"].Value(), qt.Equals, int64(len(queries)))
 				c.Assert(counters["platform.failures+"].Value() >= test.failures, qt.IsTrue)
 			})
 		})
@@ -206,9 +216,10 @@
 		defer cancel()
 		client.Watch(ctx, "k", func(Update) {})
 		stop()
-		c.Assert(len(service.queryTimes) > 15 && len(service.queryTimes) < 80, qt.IsTrue, qt.Commentf("%d queries", len(service.queryTimes)))
-		for i := 1; i < len(service.queryTimes); i++ {
-			delay := service.queryTimes[i] - service.queryTimes[i-1]
+		_, times := service.recorded()
+		c.Assert(len(times) > 15 && len(times) < 80, qt.IsTrue, qt.Commentf("%d queries", len(times)))
+		for i := 1; i < len(times); i++ {
+			delay := times[i] - times[i-1]
 			c.Assert(delay >= 200*time.Millisecond && delay <= 30*time.Second, qt.IsTrue, qt.Commentf("delay %v", delay))
 			if i > 8 {
 				c.Assert(delay >= 10*time.Second, qt.IsTrue, qt.Commentf("delay %d is %v", i, delay))
@@ -231,7 +242,8 @@
 		defer cancel()
 		client.Watch(ctx, "k", func(Update) {})
 		stop()
-		c.Assert(len(service.queries) <= 10*watchesPerSecond+watchBurst, qt.IsTrue, qt.Commentf("%d queries", len(service.queries)))
+		queries, _ := service.recorded()
+		c.Assert(len(queries) <= 10*watchesPerSecond+watchBurst, qt.IsTrue, qt.Commentf("%d queries", len(queries)))
 	})
 }
 
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,9 +56,9 @@
 	}
 	older := s.Copy()
 	s.Put("key-g", []byte("v"))
-	calls := 0
+	var calls atomic.Int32
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if calls++; calls == 2 {
+		if calls.Add(1) == 2 {
 			s.Restore(older)
 		}
 		s.ServeHTTP(w, r)
