Compare the value, not only the index, of a bundle that a watch returns

Callers would see a signed-off bundle that is not in force: a configuration service that is restored while a blocking query waits may answer it with the index of before and another value. The watch took the index for the identity of the value, and the bundle was not offered. Change: an update counts as unchanged only if index and value are the same.

--- a/internal/configstore/client.go
+++ b/internal/configstore/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
@@ -66,8 +67,8 @@
 type Update struct {
 	Value
 	Err error
-	// Unchanged is true when the value is the same as in the previous update because
-	// the blocking query reached its wait time.
+	// Unchanged is true when the index and the value are the same as in the previous
+	// update because the blocking query reached its wait time.
 	Unchanged bool
 }
 
@@ -142,6 +143,8 @@
 	}
 	limiter := rate.NewLimiter(watchesPerSecond, watchBurst)
 	index, failed := uint64(0), false
+	// A restored service gives out indexes again, so an index does not identify a value.
+	var digest uint64
 	for limiter.Wait(ctx) == nil {
 		update := c.watchOnce(ctx, key, index)
 		if ctx.Err() != nil {
@@ -150,7 +153,9 @@
 		// When its wait time ends, a query returns the index that it was given. After
 		// a failure an unchanged value is reported as new, because the consumer may
 		// have missed it.
-		update.Unchanged = update.Healthy() && !failed && index != 0 && update.Index == index
+		last := digest
+		digest = xxhash.Sum64(update.Data)
+		update.Unchanged = update.Healthy() && !failed && index != 0 && update.Index == index && digest == last
 		if update.Healthy() {
 			index, failed = c.nextIndex(index, update.Index), false
 			retryBackoff.Reset()
