Let the store of the soak come back from older copies

The stand-in operator writes its newest configuration again at once, hosts register again within 1.2 s, entries of hosts that left expire after 3.6 s. The restores draw from a random source of their own, so that the kept seeds draw the same faults.

--- a/test/e2e/soak_faults_test.go
+++ b/test/e2e/soak_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -235,7 +236,7 @@
 		return
 	}
 	h.Close()
-	s.store.DeleteTarget(h.id)
+	s.unregister(h)
 	s.startHost(a, h.service)
 }
 
@@ -246,16 +247,84 @@
 	if h == nil {
 		return
 	}
-	s.store.PutTarget(h.id, h.service, h.dataCentre, h.App, 4, "draining")
 	s.mu.Lock()
 	h.draining, h.drainedAt = true, time.Now()
 	s.mu.Unlock()
+	s.register(h)
+	s.mu.Lock()
+	h.drainedAt = time.Now()
+	s.mu.Unlock()
 	time.Sleep(propagationLimit)
 	h.Close()
-	s.store.DeleteTarget(h.id)
+	s.unregister(h)
 	s.startHost(a, h.service)
 }
 
+// Times of a store that comes back from an older copy.
+const (
+	copyInterval = 200 * time.Millisecond
+	// maxCopyAge is the greatest age of the copy when the store is restored.
+	maxCopyAge = 4 * time.Second
+	// maxRestorePause is the longest time between two restores.
+	maxRestorePause = 3 * time.Second
+	// rewriteTime is the time within which running hosts have registered again.
+	rewriteTime = 1200 * time.Millisecond
+	// expiryTime is the time after which the entries of hosts that left expire.
+	expiryTime = 3600 * time.Millisecond
+)
+
+// injectRestores lets the store come back from older copies for the duration d. The
+// operator writes its newest configuration again at once, the hosts theirs later.
+func (s *soak) injectRestores(d time.Duration, random *rand.Rand) {
+	if !*soakRestores {
+		return
+	}
+	start := time.Now()
+	var running sync.WaitGroup
+	var copies []platformtest.Copy
+	next := time.Duration(random.Int64N(int64(maxRestorePause)))
+	for time.Since(start) < d {
+		copies = append(copies, s.store.Copy())
+		copies = copies[max(0, len(copies)-int(maxCopyAge/copyInterval)):]
+		if time.Since(start) >= next {
+			i := random.IntN(len(copies))
+			s.logEvent(start, "restore the store from a copy %s old", time.Duration(len(copies)-1-i)*copyInterval)
+			delays := make([]time.Duration, len(s.processes))
+			for i := range delays {
+				delays[i] = time.Duration(random.Int64N(int64(rewriteTime)))
+			}
+			s.restore(copies[i], delays, &running)
+			copies = copies[:i+1]
+			next = time.Since(start) + time.Duration(random.Int64N(int64(maxRestorePause)))
+		}
+		time.Sleep(copyInterval)
+	}
+	running.Wait()
+}
+
+// restore replaces the content of the store and starts what writes it again; delays
+// are those of the hosts.
+func (s *soak) restore(older platformtest.Copy, delays []time.Duration, running *sync.WaitGroup) {
+	s.mu.Lock()
+	s.store.Restore(older)
+	s.store.PutConfiguration(s.version, s.routes)
+	s.mu.Unlock()
+	for i, h := range s.currentHosts() {
+		running.Go(func() {
+			time.Sleep(delays[i])
+			s.register(h)
+		})
+	}
+	running.Go(func() {
+		time.Sleep(expiryTime)
+		s.registering.Lock()
+		defer s.registering.Unlock()
+		for _, id := range s.gone {
+			s.store.DeleteTarget(id)
+		}
+	})
+}
+
 // changeRoutes adds an extra route, or removes it when it is present.
 func (s *soak) changeRoutes() {
 	const extra = "198.18.0.9:443"
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -21,10 +21,11 @@
 )
 
 var (
-	soakSeed  = flag.Uint64("soak.seed", 0, "run only this seed; 0 runs the regression seeds")
-	soakRuns  = flag.Int("soak.runs", 0, "number of random seeds to run after the regression seeds")
-	soakTime  = flag.Duration("soak.time", 6*time.Second, "duration of fault injection in each run")
-	soakScale = flag.Int("soak.scale", 1, "multiplies the number of processes: 12 at 1")
+	soakSeed     = flag.Uint64("soak.seed", 0, "run only this seed; 0 runs the regression seeds")
+	soakRuns     = flag.Int("soak.runs", 0, "number of random seeds to run after the regression seeds")
+	soakTime     = flag.Duration("soak.time", 6*time.Second, "duration of fault injection in each run")
+	soakRestores = flag.Bool("soak.restores", true, "let the store come back from older copies")
+	soakScale    = flag.Int("soak.scale", 1, "multiplies the number of processes: 12 at 1")
 )
 
 // regressionSeeds lists the seeds that have failed before, each with its cause.
@@ -77,6 +78,12 @@
 	processes []*soakProcess
 	clients   *platformtest.Clients
 
+	// registering is locked while a host writes to the store; no other lock is held
+	// when it is taken.
+	registering sync.Mutex
+	// gone holds the ids of targets that have left; guarded by registering.
+	gone []string
+
 	mu sync.Mutex // guards the fields below
 	// rotation holds the packet addresses of the entries that pass readiness
 	// checks.
@@ -118,7 +125,7 @@
 // Guards against violated guarantees under overlapping faults: processes are
 // killed, paused, stopped and restarted, the store is silent, slow, refuses
 // requests or is unreachable for some processes, hosts crash, drain and are
-// replaced, and the configuration changes.
+// replaced, the configuration changes, and the store comes back from older copies.
 func TestSoak(t *testing.T) {
 	if *soakSeed != 0 {
 		runSoak(t, *soakSeed)
@@ -142,7 +149,10 @@
 	for i := range 16 {
 		work.Go(func() { s.clientLoop(stop, i%2 == 0, uint64(i)) })
 	}
+	var restores sync.WaitGroup
+	restores.Go(func() { s.injectRestores(*soakTime, rand.New(rand.NewPCG(seed, 11))) })
 	s.injectFaults(*soakTime)
+	restores.Wait()
 	close(stop)
 	work.Wait()
 	s.checkRecovered()
@@ -221,7 +231,31 @@
 	host := &soakHost{Host: h, id: fmt.Sprint("i-", s.targets), service: service, dataCentre: fmt.Sprint("dc-", a.As4()[2])}
 	s.hosts[a] = host
 	s.mu.Unlock()
-	s.store.PutTarget(host.id, service, host.dataCentre, h.App, 4, "ready")
+	s.register(host)
+}
+
+// register writes the state of a host to the store, unless it has left.
+func (s *soak) register(h *soakHost) {
+	s.registering.Lock()
+	defer s.registering.Unlock()
+	if slices.Contains(s.gone, h.id) {
+		return
+	}
+	state := "ready"
+	s.mu.Lock()
+	if h.draining {
+		state = "draining"
+	}
+	s.mu.Unlock()
+	s.store.PutTarget(h.id, h.service, h.dataCentre, h.App, 4, state)
+}
+
+// unregister removes a host that has left from the store.
+func (s *soak) unregister(h *soakHost) {
+	s.registering.Lock()
+	defer s.registering.Unlock()
+	s.gone = append(s.gone, h.id)
+	s.store.DeleteTarget(h.id)
 }
 
 func (s *soak) route(destination, service string) {
