Count only probes that are sent when no candidate responds

Callers: an entry that reached nobody for a moment counted members as silent after packets that it never sent, so that their flows took detours once it reached them. Cause: Entry.selectCandidate counted the probes of duplicates and then dropped the duplicates, because no candidate was responsive. Change: it looks for a responsive candidate first, and probes those before it only if there is one.

--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -51,16 +51,16 @@
 func (e Entry) selectCandidate(candidates []*catalog.Member, p *Packet, v *Verdict, now int64) *catalog.Member {
 	opening := p.IsOpening()
 	slices.SortStableFunc(candidates, func(a, b *catalog.Member) int { return e.distance(a) - e.distance(b) })
-	for _, m := range candidates {
-		switch {
-		case m.State >= catalog.Lapsed || !eligible(m, opening, false):
-		case e.responsive(m, now):
-			return m
-		case !opening:
-			e.probeWithDuplicate(m, v, now)
+	registered := func(m *catalog.Member) bool { return m.State < catalog.Lapsed && eligible(m, opening, false) }
+	first := slices.IndexFunc(candidates, func(m *catalog.Member) bool { return registered(m) && e.responsive(m, now) })
+	if first >= 0 {
+		for _, m := range candidates[:first] {
+			if registered(m) && !opening {
+				e.probeWithDuplicate(m, v, now)
+			}
 		}
+		return candidates[first]
 	}
-	v.Duplicates = nil
 	for _, lapsed := range []bool{false, true} {
 		for _, m := range candidates {
 			if (m.State < catalog.Lapsed || lapsed) && eligible(m, opening, lapsed) {
