Do not count broken pulls of a client as failures to serve

Change: the client counts them as pulls_broken. TestInvalidResponses now checks that a client counts no serve_failures; its case "responder fails" counted one before.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -78,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	if err := conn.HandshakeContext(ctx); err != nil {
-		c.metrics.countHandshakeError(err)
+		c.metrics.countHandshakeError(err, c.metrics.broken)
 		return fmt.Errorf("TLS handshake: %w", err)
 	}
 	return nil
@@ -93,7 +93,7 @@
 	}
 	response, err := readResponse(stream)
 	if err != nil {
-		c.metrics.countReadError(err)
+		c.metrics.countReadError(err, c.metrics.broken)
 		return nil, fmt.Errorf("read response: %w", err)
 	}
 	if response.GetBusy() {
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -13,6 +13,9 @@
 
 type metrics struct {
 	pulls, pullFailures, served, refusedBusy, serveFailures tally.Counter
+	// broken counts pulls whose connection broke or whose response ended early; they
+	// are pullFailures too.
+	broken tally.Counter
 	// unauthenticated counts handshakes that failed for a reason other than a
 	// broken connection, malformed counts messages that could not be decoded.
 	unauthenticated, malformed, oversized tally.Counter
@@ -30,6 +33,7 @@
 		served:          scope.Counter("served"),
 		refusedBusy:     scope.Counter("refused_busy"),
 		serveFailures:   scope.Counter("serve_failures"),
+		broken:          scope.Counter("pulls_broken"),
 		unauthenticated: scope.Counter("unauthenticated"),
 		malformed:       scope.Counter("garbage"),
 		oversized:       scope.Counter("oversized"),
@@ -43,13 +47,13 @@
 	m.bytesWritten.Inc(int64(written))
 }
 
-// countHandshakeError counts a failed handshake as unauthenticated unless the
-// connection broke. It recognizes connection errors because crypto/tls has no
+// countHandshakeError counts a failed handshake as unauthenticated, or in broken if
+// the connection broke. It recognizes connection errors because crypto/tls has no
 // error types for most protocol errors.
-func (m *metrics) countHandshakeError(err error) {
+func (m *metrics) countHandshakeError(err error, broken tally.Counter) {
 	for _, connectionError := range connectionErrors {
 		if errors.Is(err, connectionError) {
-			m.serveFailures.Inc(1)
+			broken.Inc(1)
 			return
 		}
 	}
@@ -62,13 +66,13 @@
 	context.Canceled, syscall.ECONNRESET, syscall.EPIPE,
 }
 
-// countReadError counts a message that could not be read.
-func (m *metrics) countReadError(err error) {
+// countReadError counts a message that could not be read, in broken if it ended early.
+func (m *metrics) countReadError(err error, broken tally.Counter) {
 	switch {
 	case errors.Is(err, ErrOversized):
 		m.oversized.Inc(1)
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
-		m.serveFailures.Inc(1)
+		broken.Inc(1)
 	default:
 		m.malformed.Inc(1)
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -96,7 +96,7 @@
 	defer tcpConn.Close()
 	conn := tls.Server(&countingConn{Conn: tcpConn, count: s.metrics.countBytes}, s.tlsConfig)
 	if err := handshake(ctx, conn); err != nil {
-		s.metrics.countHandshakeError(err)
+		s.metrics.countHandshakeError(err, s.metrics.serveFailures)
 		return
 	}
 	session, err := yamux.Server(conn, yamuxConfig())
@@ -128,7 +128,7 @@
 	}
 	request, err := readRequest(stream)
 	if err != nil {
-		s.metrics.countReadError(err)
+		s.metrics.countReadError(err, s.metrics.serveFailures)
 		return
 	}
 	if err := s.sendResponse(stream, request); err != nil {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -216,8 +216,12 @@
 			c := qt.New(t)
 			identity := testIdentity(c, oldKey)
 			server := startServer(c, identity, test.respond)
-			_, err := NewClient(identity, nil).Pull(t.Context(), server.address, &schema.BundleRequest{})
+			scope := tally.NewTestScope("", nil)
+			_, err := NewClient(identity, scope).Pull(t.Context(), server.address, &schema.BundleRequest{})
 			c.Assert(test.check(err), qt.IsTrue, qt.Commentf("%v", err))
+			if failures := scope.Snapshot().Counters()["transport.serve_failures+"]; failures != nil {
+				c.Check(failures.Value(), qt.Equals, int64(0), qt.Commentf("a client serves nothing"))
+			}
 		})
 	}
 }
