End the planned stop of an agent without a bundle at once

Change: such an agent has no unseen flows to wait for. TestPlannedStopWithoutBundleIsShort failed before.

--- a/internal/flow/host.go
+++ b/internal/flow/host.go
@@ -181,8 +181,12 @@
 // mayHaveUnseenFlowsLocked reports whether the host may have connections that this
 // process has not adopted yet: the host reports some, or, without a report, the
 // host may be older than the process. An idle flow sends no packets that would
-// reveal it, so that only the drain deadline ends the wait then.
+// reveal it, so that only the drain deadline ends the wait then. Without a bundle
+// this process can serve none of them.
 func (a *Agent) mayHaveUnseenFlowsLocked() bool {
+	if a.view.Load() == nil {
+		return false
+	}
 	if a.hostReport.ConnectionsKnown {
 		return a.hostReport.Connections > 0
 	}
--- a/internal/flow/single_agent_test.go
+++ b/internal/flow/single_agent_test.go
@@ -175,6 +175,16 @@
 	c.Check(s.agent.Status(s.now).OpenFlows, qt.Equals, int64(1))
 }
 
+// TestPlannedStopWithoutBundleIsShort guards against an agent that has never had a
+// bundle, so that it can serve no flow, and waits for the drain deadline.
+func TestPlannedStopWithoutBundleIsShort(t *testing.T) {
+	c := qt.New(t)
+	now := int64(time.Hour)
+	agent := New(Config{TargetID: 1, Started: now, Chooser: placement.NewChooser(placement.Config{})})
+	agent.Drain(now, &Actions{})
+	c.Check(agent.StopComplete(now), qt.IsTrue)
+}
+
 // TestPlannedStopWaitsForFlows guards against a planned stop that accepts new
 // flows, breaks an open flow or one that only the host knows of, or waits after
 // the last flow has ended.
