Use a connection for each call to the store and the health endpoint

What callers would see: a service without targets, or an outdated view that counts as confirmed. Cause: calls shared a kept connection, and HTTP/1.1 pairs responses with requests by order alone. A late second copy of a response was taken for the response to the next call: the changes of a watch for the list of all items, so that all other targets counted as removed. Change: a call has a connection of its own. TestLateSecondCopyIsNotTheNextResponse failed before (one item instead of two).

--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -41,7 +41,8 @@
 		<-ctx.Done()
 		return nil
 	}
-	client := &http.Client{Timeout: healthTimeout}
+	// A report that arrives late must not be taken for the next one.
+	client := &http.Client{Timeout: healthTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	s := a.newSender()
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
--- a/internal/configstore/client.go
+++ b/internal/configstore/client.go
@@ -106,9 +106,10 @@
 	return &Client{
 		base: base,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: 2,
-			IdleConnTimeout:     90 * time.Second,
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			// On a connection in use again, a late second copy of a response would be
+			// taken for the response to the next request.
+			DisableKeepAlives: true,
 		}},
 		metrics: clientMetrics{
 			reads:       scope.Counter("reads"),
@@ -120,7 +121,7 @@
 	}, nil
 }
 
-// Close closes idle connections.
+// Close closes connections that are not in use.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Get reads a key once. The error wraps ErrKeyNotFound, ErrTooLarge, ErrNoIndex or
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -118,8 +118,7 @@
 	return changes, nil
 }
 
-// call sends one request. After a failure it closes idle connections instead of reusing
-// them, because a connection on which a response was lost may never carry one again.
+// call sends one request on a connection of its own.
 func (s *Store) call(ctx context.Context, path string, timeout time.Duration) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -129,11 +128,8 @@
 	if err == nil {
 		s.timeout = storeTimeout
 		response, err = s.api.Decode(status, header, body)
-	} else {
-		s.client.http.CloseIdleConnections()
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			s.timeout = slowStoreTimeout
-		}
+	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		s.timeout = slowStoreTimeout
 	}
 	if err != nil && !errors.Is(err, ErrHistoryLost) {
 		s.client.metrics.failures.Inc(1)
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -1,11 +1,16 @@
 package configstore_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -134,3 +139,53 @@
 	_, err = reader.List(context.Background())
 	c.Check(err, qt.IsNil)
 }
+
+// Guards against a second copy of a response that arrives late, on a connection in use
+// again, and is taken for the response to the next call.
+func TestLateSecondCopyIsNotTheNextResponse(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	go serveWithSecondCopies(listener)
+	client, err := store.New("http://"+listener.Addr().String(), nil)
+	c.Assert(err, qt.IsNil)
+	reader := store.NewStore(client, platform.Store{})
+	changes, err := reader.Watch(context.Background(), 4, time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Check(changes.Items, qt.HasLen, 1)
+	time.Sleep(50 * time.Millisecond) // until the connection is idle
+	list, err := reader.List(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Check(list.Items, qt.HasLen, 2, qt.Commentf("the list of all items, not the changes of the watch"))
+}
+
+// serveWithSecondCopies answers a watch with one item and a list with two. On each
+// connection it sends its former response again before the next one.
+func serveWithSecondCopies(listener net.Listener) {
+	const watch = `{"events":[{"Key":"a","Value":"","Revision":5}],"CurrentRev":5}`
+	const list = `{"items":[{"Key":"a","Value":"","Revision":5},{"Key":"b","Value":"","Revision":3}],"HasMore":false,"CurrentRev":5}`
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			former := ""
+			for requests := bufio.NewReader(conn); ; {
+				request, err := http.ReadRequest(requests)
+				if err != nil {
+					return
+				}
+				body := list
+				if strings.Contains(request.URL.Path, "watch") {
+					body = watch
+				}
+				response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				_, _ = io.WriteString(conn, former+response)
+				former = response
+			}
+		}()
+	}
+}
