Find the leading candidates of a flow without sorting its service

Change: catalog.Leading keeps the first eight candidates while it looks at each member once, those of the preferred data centre first; all are sorted only if none of the eight will do. TestDecisionDoesNotSortLargeService failed before (14 allocations).

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -48,8 +48,9 @@
 	*bundle.Service
 	// Hash is a short hash of the name, carried by packets between processes.
 	Hash uint8
-	// members holds the service's members in search order.
-	members []*Member
+	// members holds the service's members in search order, memberIDs their ids.
+	members   []*Member
+	memberIDs []uint32
 }
 
 // RouteView is a route in a view; Services is never empty.
@@ -103,6 +104,9 @@
 			s.members = append(s.members, v.members[t.ID])
 		}
 		slices.SortFunc(s.members, compareSearchOrder)
+		for _, m := range s.members {
+			s.memberIDs = append(s.memberIDs, m.ID)
+		}
 	}
 	for _, r := range v.routes {
 		r.collectMembers()
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -54,7 +54,7 @@
 func Candidates(v *bundle.View, a *bundle.Address, k *packet.Key, dst []*bundle.Target) []*bundle.Target {
 	var buf [MaxTargets]scoredTarget
 	scored := buf[:0]
-	hash := flowHash(v, k)
+	hash := FlowHash(v, k)
 	home := preferredDataCentre(a)
 	for _, t := range a.Service.Targets {
 		u := uniform(hash, t.ID)
@@ -70,7 +70,7 @@
 // Before reports whether x precedes y in the candidate order of the flow k. It
 // ignores classes; the targets need not be part of the view.
 func Before(v *bundle.View, k *packet.Key, x, y *bundle.Target) bool {
-	hash := flowHash(v, k)
+	hash := FlowHash(v, k)
 	withScore := func(t *bundle.Target) *scoredTarget {
 		u := uniform(hash, t.ID)
 		return &scoredTarget{target: t, score: score(u, t), u: u}
@@ -86,7 +86,7 @@
 	var best *bundle.Target
 	var bestU float64
 	var bestClass uint8
-	hash := flowHash(v, k)
+	hash := FlowHash(v, k)
 	home := preferredDataCentre(a)
 	for _, t := range a.Service.Targets {
 		class := classOf(t, home)
@@ -136,9 +136,14 @@
 	}
 }
 
-// flowHash returns a keyed hash of the flow. Clients choose their ports, so with
+// Rank returns the place of a target in the candidate order of a flow with the hash:
+// of two targets with the same weight and class, the one with the higher rank comes
+// first, and of equal ranks the lower id.
+func Rank(hash uint64, id uint32) uint64 { return mix(hash^uint64(id)*0x9e3779b97f4a7c15) >> 12 }
+
+// FlowHash returns a keyed hash of the flow. Clients choose their ports, so with
 // an unkeyed hash they could direct all their flows to one target.
-func flowHash(v *bundle.View, k *packet.Key) uint64 {
+func FlowHash(v *bundle.View, k *packet.Key) uint64 {
 	var buf [packet.MaxKeySize]byte
 	b, _ := k.AppendBinary(buf[:0])
 	return siphash.Hash(v.HashKey[0], v.HashKey[1], b)
@@ -147,8 +152,7 @@
 // uniform returns a pseudorandom value in (0, 1) for a flow and a target. It
 // uses 52 bits so that adding 0.5 is exact and the result never rounds to 1.
 func uniform(hash uint64, id uint32) float64 {
-	x := mix(hash ^ uint64(id)*0x9e3779b97f4a7c15)
-	return (float64(x>>12) + 0.5) / (1 << 52)
+	return (float64(Rank(hash, id)) + 0.5) / (1 << 52)
 }
 
 // score returns weight / -ln(u). A target has the highest score with a
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -23,13 +23,16 @@
 	if route == nil {
 		return verdict
 	}
-	var buf [maxHops]*catalog.Member
-	candidates := v.Candidates(route, &p.Key, buf[:0])
-	if p.IsOpening() {
-		candidates = candidates[:route.OpeningCandidates(&p.Key)]
-	}
 	verdict = Verdict{Action: ActionForward, Reason: ReasonFirstCandidate}
-	m := e.selectCandidate(candidates, p, &verdict, now)
+	var buf [catalog.MaxLeading]*catalog.Member
+	candidates, complete := v.Leading(route, &p.Key, catalog.Selection{DataCentre: e.DataCentre, Opening: p.IsOpening()}, buf[:0])
+	m := e.firstResponsive(candidates, p, &verdict, now)
+	if m == nil {
+		if !complete {
+			candidates = e.allCandidates(v, route, p)
+		}
+		m = e.selectCandidate(candidates, p, &verdict, now)
+	}
 	if m == nil {
 		if p.IsOpening() && e.viewFresh(now) {
 			return e.reset(p, ReasonNoTarget)
@@ -43,23 +46,41 @@
 	return verdict
 }
 
-// selectCandidate returns the first eligible candidate that is responsive.
-// Unresponsive candidates before it that may have the flow get a duplicate. When
-// no candidate is responsive, a fault of this process or its links is more likely
-// than one of all members, so responsiveness is ignored; members that left are
-// used only when no other is known.
-func (e Entry) selectCandidate(candidates []*catalog.Member, p *Packet, v *Verdict, now int64) *catalog.Member {
-	opening := p.IsOpening()
+// allCandidates returns all candidates of a packet, those of the entry's data centre
+// first.
+func (e Entry) allCandidates(v *catalog.View, route *catalog.RouteView, p *Packet) []*catalog.Member {
+	candidates := v.Candidates(route, &p.Key, nil)
+	if p.IsOpening() {
+		candidates = candidates[:route.OpeningCandidates(&p.Key)]
+	}
 	slices.SortStableFunc(candidates, func(a, b *catalog.Member) int { return e.distance(a) - e.distance(b) })
+	return candidates
+}
+
+// firstResponsive returns the first eligible candidate that is responsive, or nil.
+// Unresponsive candidates before it that may have the flow get a duplicate.
+func (e Entry) firstResponsive(candidates []*catalog.Member, p *Packet, v *Verdict, now int64) *catalog.Member {
+	opening := p.IsOpening()
 	registered := func(m *catalog.Member) bool { return m.State < catalog.Lapsed && eligible(m, opening, false) }
 	first := slices.IndexFunc(candidates, func(m *catalog.Member) bool { return registered(m) && e.responsive(m, now) })
-	if first >= 0 {
-		for _, m := range candidates[:first] {
-			if registered(m) && !opening {
-				e.probeWithDuplicate(m, v, now)
-			}
+	if first < 0 {
+		return nil
+	}
+	for _, m := range candidates[:first] {
+		if registered(m) && !opening {
+			e.probeWithDuplicate(m, v, now)
 		}
-		return candidates[first]
+	}
+	return candidates[first]
+}
+
+// selectCandidate returns the first responsive one of all candidates. When there is
+// none, a fault of this process or its links is more likely than one of all members,
+// so responsiveness is ignored; members that left are used only when no other is known.
+func (e Entry) selectCandidate(candidates []*catalog.Member, p *Packet, v *Verdict, now int64) *catalog.Member {
+	opening := p.IsOpening()
+	if m := e.firstResponsive(candidates, p, v, now); m != nil {
+		return m
 	}
 	for _, lapsed := range []bool{false, true} {
 		for _, m := range candidates {
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -63,8 +63,20 @@
 // nextByRank returns the first candidate after this agent by rank to which the
 // packet can be forwarded, or nil.
 func (a *Agent) nextByRank(v *catalog.View, route *catalog.RouteView, p *Packet, verdict *Verdict, now int64) *catalog.Member {
-	var buf [maxHops]*catalog.Member
-	candidates := v.Candidates(route, &p.Key, buf[:0])
+	if route.FollowsOneService(p.IsOpening()) {
+		var buf [catalog.MaxLeading]*catalog.Member
+		following, complete := v.Leading(route, &p.Key, catalog.Selection{Opening: p.IsOpening(), After: a.ID}, buf[:0])
+		if m := a.firstToForwardTo(following, p, verdict, now); m != nil || complete {
+			return m
+		}
+		return a.firstToForwardTo(a.followingByRank(v, route, p)[len(following):], p, verdict, now)
+	}
+	return a.firstToForwardTo(a.followingByRank(v, route, p), p, verdict, now)
+}
+
+// followingByRank returns all candidates after this agent by rank.
+func (a *Agent) followingByRank(v *catalog.View, route *catalog.RouteView, p *Packet) []*catalog.Member {
+	candidates := v.Candidates(route, &p.Key, nil)
 	if p.IsOpening() {
 		candidates = candidates[:route.OpeningCandidates(&p.Key)]
 	}
@@ -72,7 +84,13 @@
 	if known {
 		from++
 	}
-	for _, m := range candidates[from:] {
+	return candidates[from:]
+}
+
+// firstToForwardTo returns the first of the candidates to which the packet can be
+// forwarded, or nil. Those before it that may have the flow get a duplicate.
+func (a *Agent) firstToForwardTo(candidates []*catalog.Member, p *Packet, verdict *Verdict, now int64) *catalog.Member {
+	for _, m := range candidates {
 		if a.canForwardTo(m, p, now) {
 			return m
 		}
--- a/internal/relay/search_test.go
+++ b/internal/relay/search_test.go
@@ -270,3 +270,42 @@
 		a.FromHost(p, f.now)
 	}
 }
+
+// largeService returns n targets in three data centres.
+func largeService(n int) []catalog.Target {
+	var list []catalog.Target
+	for i := range n {
+		list = append(list, target(fmt.Sprintf("10.%d.%d.%d", 1+i%3, i/200, 10+i%200)))
+	}
+	return list
+}
+
+// Guards against decisions of entries and agents that sort all targets of a service for
+// each packet: with 1,500 targets they took all processor time of a VM.
+func TestDecisionDoesNotSortLargeService(t *testing.T) {
+	f := newFleet(t, largeService(1500)...)
+	agent := f.agents[netip.MustParseAddr("10.1.0.10")]
+	p := &Packet{Key: flowKey(1), Flags: FlagACK, Length: 100}
+	returned := &Packet{Key: flowKey(1), Flags: FlagACK | FlagReturned, Length: 100, Echo: SearchState{Service: agent.ServiceHash}.Encode()}
+	f.c.Check(testing.AllocsPerRun(20, func() { f.entry.FromClient(p, f.now) }), qt.Equals, 0.0)
+	f.c.Check(testing.AllocsPerRun(20, func() { agent.FromHost(returned, f.now) }), qt.Equals, 0.0)
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{7, 37, 200, 1500} {
+		f := newFleet(&testing.T{}, largeService(n)...)
+		agent := f.agents[netip.MustParseAddr("10.1.0.10")]
+		p := &Packet{Key: flowKey(1), Flags: FlagACK, Length: 100}
+		returned := &Packet{Key: flowKey(1), Flags: FlagACK | FlagReturned, Length: 100, Echo: SearchState{Service: agent.ServiceHash}.Encode()}
+		b.Run(fmt.Sprint("entry-", n), func(b *testing.B) {
+			for b.Loop() {
+				f.entry.FromClient(p, f.now)
+			}
+		})
+		b.Run(fmt.Sprint("agent-", n), func(b *testing.B) {
+			for b.Loop() {
+				agent.FromHost(returned, f.now)
+			}
+		})
+	}
+}
