Search all targets of a service with more than 200

A client whose flow nobody has then waited for its deadline, and a flow whose owner came later in the order was lost. Cause: the limit of hops, meant for loops, also bounded the search. Change: a full search ends by its order; only one of its 16 hops is counted, so the limit bounds loops of contradicting settings to some 3,200 hops on average. TestSearchOfLargeServiceVisitsAllTargets failed before ("search_incomplete after 200 hosts"); TestSearchLoopEnds shows that a loop ends.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -63,18 +63,18 @@
 	if state.Service != a.ServiceHash {
 		// The sender's view has another service at this address. Counting the
 		// hop stops a loop between two agents with such views.
-		state.Hops++
+		a.countHop(&state, now)
 		state.Inconclusive = true
 		return a.forwardNext(p, state, now)
 	}
 	if !p.IsOpening() {
 		if now < a.HostDownUntil.Load() {
 			// A host that is down has no flows: treat the packet as returned.
-			state.Hops++
+			a.countHop(&state, now)
 			return a.forwardNext(p, state, now)
 		}
 		if !a.Admission.MatchesFlow(p) {
-			state.Hops++
+			a.countHop(&state, now)
 			verdict := a.forwardNext(p, state, now)
 			verdict.Reason = ReasonOpenedElsewhere
 			return verdict
@@ -121,7 +121,7 @@
 // redirect forwards an opening that the own host should not get to the next
 // candidate. The verdict is not ActionForward when none is left.
 func (a *Agent) redirect(p *Packet, state SearchState, now int64) Verdict {
-	state.Hops++
+	a.countHop(&state, now)
 	return a.forwardNext(p, state, now)
 }
 
@@ -139,13 +139,22 @@
 	return m == nil || m.State == catalog.Ready || m.State == catalog.Lapsed
 }
 
+// countHop counts a hop of a packet. Of a full search it counts one of fullSearchHops,
+// drawn anew at each agent and each time.
+func (a *Agent) countHop(state *SearchState, now int64) {
+	draw := (uint64(now) ^ uint64(a.ID)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9 >> 32
+	if !state.FullSearch || draw%fullSearchHops == 0 {
+		state.Hops++
+	}
+}
+
 // FromHost decides on a packet that the agent's host sent or returned.
 func (a *Agent) FromHost(p *Packet, now int64) Verdict {
 	if !p.Flags.Has(FlagReturned) {
 		return Verdict{Action: ActionReturn, Reason: ReasonAnswer, To: ClientAddress(p.Key.Destination, a.ClientPort)}
 	}
 	state := DecodeSearchState(p.Echo)
-	state.Hops++
+	a.countHop(&state, now)
 	if state.FullSearch && !p.IsOpening() {
 		a.retries.recordLost(p, now)
 	}
@@ -169,6 +178,6 @@
 	a.HostDownUntil.Store(now + int64(hostDownTime))
 	a.Admission.RecordHostDown(now)
 	state := DecodeSearchState(p.Echo)
-	state.Hops++
+	a.countHop(&state, now)
 	return a.forwardNext(p, state, now)
 }
--- a/internal/relay/search_state.go
+++ b/internal/relay/search_state.go
@@ -15,16 +15,22 @@
 	statePositionMask  = 1<<12 - 1
 )
 
-// maxHops bounds the candidates that one packet visits, and so the work that a
-// packet of an unknown flow can cause in a service of any size.
-const maxHops = 200
+const (
+	// maxHops bounds the hops that one packet counts, so that processes whose views
+	// contradict each other do not pass it on forever.
+	maxHops = 200
+	// fullSearchHops is the number of hops of a full search for which one is counted
+	// on average. Its order alone makes a search of any size end; maxHops bounds it
+	// to about 3,200 hops.
+	fullSearchHops = 16
+)
 
 // SearchState is the state of a packet's search for the owner of its flow. The
 // packet carries it in its echo from process to process, and back from a host
 // that does not accept the packet.
 type SearchState struct {
 	// Hops is the number of candidates that have returned or forwarded the
-	// packet.
+	// packet; see Agent.countHop.
 	Hops int
 	// FullSearch is set when the leading candidates do not have the flow and the
 	// packet visits all members, one data centre after the other.
--- a/internal/relay/search_test.go
+++ b/internal/relay/search_test.go
@@ -309,3 +309,31 @@
 		})
 	}
 }
+
+// Guards against clients of a large service that wait for their deadline, because the
+// search for a flow ends before it has visited all targets.
+func TestSearchOfLargeServiceVisitsAllTargets(t *testing.T) {
+	f := newFleet(t, largeService(500)...)
+	for _, client := range []int{1, 2} {
+		owner := largeService(500)[240*client].Host.Addr()
+		f.hosts[owner].flows[flowKey(client)] = true
+		at, v := f.sendData(client)
+		f.c.Check(at, qt.Equals, owner, qt.Commentf("%s after %d hosts", v.Reason, len(f.visited)))
+	}
+	f.advance(ConfirmedViewAge)
+	f.distributeView()
+	_, v := f.sendData(3)
+	f.c.Check(v.Action, qt.Equals, ActionReset, qt.Commentf("no host has the flow: %s after %d hosts", v.Reason, len(f.visited)))
+	f.c.Check(countDistinct(f.visited), qt.Equals, 500)
+}
+
+// Guards against packets that agents with contradicting settings pass on forever.
+func TestSearchLoopEnds(t *testing.T) {
+	f := newFleet(t, targets(40)...)
+	for _, a := range f.agents {
+		a.DataCentre = "" // sorts before all others, so that each agent begins anew
+	}
+	f.hopTime = 30 * time.Microsecond
+	_, v := f.sendData(1)
+	f.c.Check(v.Reason, qt.Equals, ReasonSearchIncomplete)
+}
