--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -48,7 +48,7 @@
 	changes, complete := d.apply(&m, now)
 	var push, reply *schema.Exchange
 	var recipients []netip.Addr
-	if d.catalog.Position() != before {
+	if d.catalog.Position() != before || len(changes) > 0 {
 		d.publishUpdate(before, changes, from.String(), now)
 		push, recipients = d.push(before, now, relayFanOut(before))
 	} else {
