Let a host of the soak bind again while a process is being started

No other instance used its addresses. Cause, in test code: a process that is being started holds copies of all sockets until it runs its program, so that a port stays in use after Close. Change: the soak binds again for up to 5 s; any other error fails as before.

--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -36,6 +37,7 @@
 	{3382597140, "stand-in hosts chose equal initial sequence numbers, so that two hosts held the same flow"},
 	{3799258047, "a stand-in host ran a late copy of an answered request again"},
 	{4106640159, "as 3382597140, after the kill of several agents"},
+	{1086093209, "a process that was being started held a copy of a closed socket of a host, so that the next host could not bind"},
 }
 
 // Ports that every VM of a soak run uses.
@@ -220,10 +222,22 @@
 	s.processes = append(s.processes, &soakProcess{process: newProcess(s.c, folder, settings), address: a, proxy: p, entry: entry})
 }
 
-// startHost starts a host under a new id and registers it.
+// bindTimeout bounds the time in which a new process holds copies of the sockets of the
+// one that starts it: until it runs its program.
+const bindTimeout = 5 * time.Second
+
+// startHost starts a host under a new id and registers it. The address may still be
+// in use by the closed socket of the host before.
 func (s *soak) startHost(a netip.Addr, service string) {
-	h, err := platformtest.NewHost(service, netip.AddrPortFrom(a, appPort), netip.AddrPortFrom(a, outboundPort), 10*time.Millisecond,
-		platformtest.HostEvents{OnRequest: s.recordRun, OnOpen: s.recordOpening, OnForged: s.recordForgedPacket})
+	var h *platformtest.Host
+	var err error
+	for end := time.Now().Add(bindTimeout); ; time.Sleep(time.Millisecond) {
+		h, err = platformtest.NewHost(service, netip.AddrPortFrom(a, appPort), netip.AddrPortFrom(a, outboundPort), 10*time.Millisecond,
+			platformtest.HostEvents{OnRequest: s.recordRun, OnOpen: s.recordOpening, OnForged: s.recordForgedPacket})
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			break
+		}
+	}
 	s.c.Assert(err, qt.IsNil)
 	s.c.Cleanup(h.Close)
 	s.mu.Lock()
