Let pulls and datagrams merge a peer's message with the same code

Found by reading the whole change: handleDatagram and pull each applied a message, published the result and built the relayed changes, and handleDatagram repeated the condition that publishUpdate decides by. Entry and agent each restricted the candidates of an opening. One function each now; behaviour stays. Tests of exchange, relay and relaynode pass with the race detector.

--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -81,13 +81,10 @@
 	}
 	now := node.Clock()
 	d.mu.Lock()
-	before := d.catalog.Position()
-	changes, _ := d.apply(m, now)
+	push, recipients, _ := d.merge(m, from, now)
 	if peer := d.peers[from]; peer != nil {
 		peer.mergedDigest = m.GetLostDigest()
 	}
-	d.publishUpdate(before, changes, from.String(), now)
-	push, recipients := d.push(before, now, relayFanOut(before))
 	d.mu.Unlock()
 	d.sendAll(push, recipients)
 	return nil
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -44,16 +44,8 @@
 	now := node.Clock()
 	d.mu.Lock()
 	d.recordPeer(&m, from, now)
-	before := d.catalog.Position()
-	changes, complete := d.apply(&m, now)
-	var push, reply *schema.Exchange
-	var recipients []netip.Addr
-	if d.catalog.Position() != before || len(changes) > 0 {
-		d.publishUpdate(before, changes, from.String(), now)
-		push, recipients = d.push(before, now, relayFanOut(before))
-	} else {
-		d.publish(Update{AsOf: d.catalog.AsOf()})
-	}
+	push, recipients, complete := d.merge(&m, from, now)
+	var reply *schema.Exchange
 	switch {
 	case m.GetAsk() && positionOf(&m).Before(d.catalog.Position()):
 		reply = d.changesSince(positionOf(&m), now)
@@ -104,6 +96,17 @@
 	return p
 }
 
+// merge applies a message of a peer, publishes the result, and returns the changes with
+// the peers to relay them to. It reports false if the sender has a later position that m
+// does not fully contain; d.mu is held.
+func (d *Directory) merge(m *schema.Exchange, from netip.Addr, now int64) (push *schema.Exchange, recipients []netip.Addr, complete bool) {
+	before := d.catalog.Position()
+	changes, complete := d.apply(m, now)
+	d.publishUpdate(before, changes, from.String(), now)
+	push, recipients = d.push(before, now, relayFanOut(before))
+	return push, recipients, complete
+}
+
 // apply applies the items of m to the catalog. It reports false if the sender has
 // a later position that m does not fully contain; d.mu is held.
 func (d *Directory) apply(m *schema.Exchange, now int64) ([]catalog.Change, bool) {
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -49,10 +49,7 @@
 // allCandidates returns all candidates of a packet, those of the entry's data centre
 // first.
 func (e Entry) allCandidates(v *catalog.View, route *catalog.RouteView, p *Packet) []*catalog.Member {
-	candidates := v.Candidates(route, &p.Key, nil)
-	if p.IsOpening() {
-		candidates = candidates[:route.OpeningCandidates(&p.Key)]
-	}
+	candidates := candidatesByRank(v, route, p)
 	slices.SortStableFunc(candidates, func(a, b *catalog.Member) int { return e.distance(a) - e.distance(b) })
 	return candidates
 }
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -74,12 +74,18 @@
 	return a.firstToForwardTo(a.followingByRank(v, route, p), p, verdict, now)
 }
 
-// followingByRank returns all candidates after this agent by rank.
-func (a *Agent) followingByRank(v *catalog.View, route *catalog.RouteView, p *Packet) []*catalog.Member {
+// candidatesByRank returns all candidates of a packet by rank.
+func candidatesByRank(v *catalog.View, route *catalog.RouteView, p *Packet) []*catalog.Member {
 	candidates := v.Candidates(route, &p.Key, nil)
 	if p.IsOpening() {
 		candidates = candidates[:route.OpeningCandidates(&p.Key)]
 	}
+	return candidates
+}
+
+// followingByRank returns all candidates after this agent by rank.
+func (a *Agent) followingByRank(v *catalog.View, route *catalog.RouteView, p *Packet) []*catalog.Member {
+	candidates := candidatesByRank(v, route, p)
 	from, known := v.Position(candidates, &p.Key, a.ID)
 	if known {
 		from++
