Decide in one place which errors of a watch require a list

Found by reading the whole change: the same two errors were compared in the read loop, the confirm loop and the record of results. Behaviour stays; tests of exchange pass with the race detector.

--- a/internal/exchange/storeread.go
+++ b/internal/exchange/storeread.go
@@ -23,6 +23,12 @@
 // used: a late response, or a store that lost count of its eras.
 var errFormerEra = errors.New("store response is of a former era")
 
+// requiresList reports whether the error of a watch means that the store responded and
+// all its items must be listed.
+func requiresList(err error) bool {
+	return errors.Is(err, configstore.ErrHistoryLost) || errors.Is(err, errNewEra)
+}
+
 // readLoop reads the store while shouldRead reports that this process must.
 func (d *Directory) readLoop(ctx context.Context) error {
 	list := true
@@ -43,7 +49,7 @@
 			limit = retryMaxReader
 		}
 		err := d.readOnce(ctx, d.store, list || !known.Known(), known, configstore.WatchWait)
-		switch relist := errors.Is(err, configstore.ErrHistoryLost) || errors.Is(err, errNewEra); {
+		switch relist := requiresList(err); {
 		case ctx.Err() != nil:
 			return nil
 		case relist && !listed:
@@ -152,7 +158,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	ok := err == nil || errors.Is(err, configstore.ErrHistoryLost) || errors.Is(err, errNewEra)
+	ok := err == nil || requiresList(err)
 	d.mu.Lock()
 	changed := ok != d.storeOK
 	d.storeOK = ok
@@ -223,7 +229,7 @@
 			continue // the first view comes from the read loop
 		}
 		err := d.readOnce(ctx, d.confirmStore, false, known, time.Millisecond)
-		if errors.Is(err, errNewEra) || errors.Is(err, configstore.ErrHistoryLost) {
+		if requiresList(err) {
 			err = d.readOnce(ctx, d.confirmStore, true, known, 0)
 		}
 		if err != nil {
