--- a/review/2/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 set -u
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.."
-exec review/bin/standin foreign-entry "$folder"
+exec review/bin/standin silent-host "$folder"
