Compare the whole service name before a host gets an opening

Cause: an agent decided by an 8-bit hash of the service's name whether an opening is for its host. One pair of names in 256 has the same hash. Ruled out: a missing or late view of the agent; the test fails with a current view.

Change: a forwarded opening carries the name of its service behind the packet; the agent compares it and removes it before the host gets the packet. Packets of flows keep the hash, as a host returns what it does not have. Such openings are counted with the reason for_another_service.

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -46,7 +46,8 @@
 // Service is a service in a view.
 type Service struct {
 	*bundle.Service
-	// Hash is a short hash of the name, carried by packets between processes.
+	// Hash is a short hash of the name, carried by packets between processes. Two
+	// services can have the same hash.
 	Hash uint8
 	// members holds the service's members in search order, memberIDs their ids.
 	members   []*Member
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -18,8 +18,9 @@
 	ID uint32
 	// DataCentre is the agent's data centre.
 	DataCentre string
-	// ServiceHash is the short hash of the name of the service that the agent's
-	// host runs.
+	// Service is the name of the service that the agent's host runs, ServiceHash
+	// the short hash of the name.
+	Service     string
 	ServiceHash uint8
 	// HostDownUntil is the time until which the agent's host is considered not
 	// running; the next packet after it is delivered to the host again.
@@ -51,7 +52,8 @@
 		return nil, err
 	}
 	return &Agent{
-		Core: core, ID: catalog.MemberID(address), DataCentre: dataCentre, ServiceHash: catalog.ServiceHash(service),
+		Core: core, ID: catalog.MemberID(address), DataCentre: dataCentre,
+		Service: service, ServiceHash: catalog.ServiceHash(service),
 		Admission: NewAdmission(), ownerlessSince: ownerlessSince, retries: retries,
 	}, nil
 }
@@ -60,12 +62,16 @@
 func (a *Agent) FromPeer(p *Packet, now int64) Verdict {
 	state := DecodeSearchState(p.Echo)
 	v := a.View.Load()
-	if state.Service != a.ServiceHash {
+	if !a.isForOwnService(p, state) {
 		// The sender's view has another service at this address. Counting the
 		// hop stops a loop between two agents with such views.
 		a.countHop(&state, now)
 		state.Inconclusive = true
-		return a.forwardNext(p, state, now)
+		verdict := a.forwardNext(p, state, now)
+		if verdict.Action == ActionForward {
+			verdict.Reason = ReasonOtherService
+		}
+		return verdict
 	}
 	if !p.IsOpening() {
 		if now < a.HostDownUntil.Load() {
@@ -100,6 +106,17 @@
 	return Verdict{Action: ActionDeliver, Reason: ReasonOwnHost, State: state}
 }
 
+// isForOwnService reports whether the sender meant the packet for the service of the
+// agent's host. Openings carry the name, because a host runs what it is sent. Other
+// packets carry only a short hash, which two services can share: a host returns a
+// packet of a flow that it does not have.
+func (a *Agent) isForOwnService(p *Packet, state SearchState) bool {
+	if p.IsOpening() {
+		return string(p.Service) == a.Service
+	}
+	return state.Service == a.ServiceHash
+}
+
 // maxBusyRedirects is the number of further candidates at which an opening may
 // look for a free slot. With 45% of the slots busy, four hosts of two slots are
 // all busy once in 160 openings.
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -79,6 +79,7 @@
 	ReasonHostBusy         Reason = "host_busy"
 	ReasonHostEjected      Reason = "host_ejected"
 	ReasonOpenedElsewhere  Reason = "opened_at_another_host"
+	ReasonOtherService     Reason = "for_another_service"
 	ReasonQueueFull        Reason = "queue_full"
 	ReasonSlotFree         Reason = "slot_free"
 	ReasonDuplicate        Reason = "copy_for_doubtful_member"
@@ -88,7 +89,7 @@
 var Reasons = []Reason{
 	ReasonFirstCandidate, ReasonForwarded, ReasonOwnHost, ReasonAnswer, ReasonNoView, ReasonNoRoute, ReasonStaleNoRoute,
 	ReasonNoTarget, ReasonNoOwner, ReasonAllRefused, ReasonSearchIncomplete, ReasonUnconfirmed,
-	ReasonSenderNewerView, ReasonHostBusy, ReasonHostEjected, ReasonOpenedElsewhere, ReasonQueueFull, ReasonSlotFree, ReasonDuplicate,
+	ReasonSenderNewerView, ReasonHostBusy, ReasonHostEjected, ReasonOpenedElsewhere, ReasonOtherService, ReasonQueueFull, ReasonSlotFree, ReasonDuplicate,
 }
 
 // Verdict is the decision on one packet.
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -165,7 +165,7 @@
 			core.Reach.RecordAnswer(agent.ID, f.now) // the agent answers probes
 		}
 		f.sendDuplicates(p, v)
-		p.Echo = v.State.Encode()
+		p.Echo, p.Service = v.State.Encode(), []byte(v.Member.Service.Name)
 		if v = agent.FromPeer(&p, f.now); v.Action != ActionDeliver {
 			continue
 		}
@@ -261,12 +261,13 @@
 	f := newFleet(t, targets(4)...)
 	first := target("10.1.0.10")
 	agent := f.agents[first.Host.Addr()]
-	opening := Packet{Key: flowKey(1), Flags: FlagSYN, Echo: SearchState{Service: agent.ServiceHash}.Encode()}
+	opening := Packet{Key: flowKey(1), Flags: FlagSYN, Service: []byte(agent.Service)}
 	f.c.Assert(agent.FromPeer(&opening, f.now).Action, qt.Equals, ActionDeliver)
 
-	other := Packet{Key: flowKey(1), Flags: FlagSYN, Echo: SearchState{Service: agent.ServiceHash + 1}.Encode()}
+	other := Packet{Key: flowKey(1), Flags: FlagSYN, Service: []byte("manifest")}
 	v := agent.FromPeer(&other, f.now)
 	f.c.Check(v.Action, qt.Equals, ActionForward)
+	f.c.Check(v.Reason, qt.Equals, ReasonOtherService)
 	f.c.Check(v.Member.ID, qt.Not(qt.Equals), agent.ID)
 
 	first.Draining = true
@@ -282,6 +283,42 @@
 	f.c.Check(agent.FromPeer(&opening, f.now).Action, qt.Equals, ActionDrop, qt.Commentf("a stale view proves nothing"))
 }
 
+// TestOpeningsStayInTheirServiceWhenHashesAgree guards against requests that run at a
+// host of another service: a host of tracking-svc started at the address of a crashed
+// host of booking-svc, which the store still lists, and both names have the same short
+// hash.
+func TestOpeningsStayInTheirServiceWhenHashesAgree(t *testing.T) {
+	const former, present = "booking-svc", "tracking-svc"
+	f := newFleet(t)
+	f.c.Assert(catalog.ServiceHash(former), qt.Equals, catalog.ServiceHash(present))
+	f.put("configuration", catalog.Record{Configuration: &catalog.Configuration{Version: 2, Routes: []catalog.Route{
+		{Name: "r", Destination: destination, Services: []catalog.WeightedService{{Service: former, Weight: 1}}},
+	}}})
+	list := targets(3)
+	for i := range list {
+		list[i].Service = former
+		f.add(list[i])
+	}
+	reused := list[0].Host.Addr()
+	agent, err := NewAgent(NewCore(testPort), reused, list[0].DataCentre, present)
+	f.c.Assert(err, qt.IsNil)
+	f.agents[reused], f.hosts[reused] = agent, &host{flows: map[packet.Key]bool{}}
+	for _, viewKnown := range []bool{true, false} {
+		f.distributeView()
+		if !viewKnown {
+			agent.View.Store(nil) // a fresh process
+		}
+		for client := range 60 {
+			at, v := f.sendOpening(client)
+			f.c.Assert(at, qt.Not(qt.Equals), reused, qt.Commentf("view known: %v", viewKnown))
+			if viewKnown {
+				f.c.Assert(at.IsValid(), qt.IsTrue, qt.Commentf("client %d: %s", client, v.Reason))
+			}
+			f.advance(openingDataTimeout)
+		}
+	}
+}
+
 // TestNewerSenderViewPrevails guards against an agent that refuses a route that
 // its sender already knew, and against one that serves a route that a later
 // configuration removed.
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -41,6 +41,9 @@
 	Echo uint32
 	// Datagram is the whole datagram.
 	Datagram []byte
+	// Service is the name of the service that a forwarded opening is for; it is not
+	// part of Datagram. Other packets have none.
+	Service []byte
 }
 
 // IsOpening reports whether the packet opens a flow (SYN without ACK).
@@ -69,6 +72,12 @@
 	SetEcho(datagram []byte, echo uint32)
 	// ClearReturned clears the mark of a returned packet.
 	ClearReturned(datagram []byte)
+	// AppendService appends the name of a service to a datagram that is forwarded to
+	// another process.
+	AppendService(datagram []byte, service string) []byte
+	// SplitService is the inverse of AppendService. The service is empty if the
+	// datagram has none; the datagram may be invalid.
+	SplitService(datagram []byte) (packet, service []byte)
 	// AppendReset appends a reset from the service to the client of p, with
 	// the sequence number that the client expects next.
 	AppendReset(dst []byte, p *Packet) []byte
--- a/internal/relay/search_state.go
+++ b/internal/relay/search_state.go
@@ -47,7 +47,7 @@
 	// processes on the packet's path; see hasLaterPosition.
 	Position uint16
 	// Service is the short hash of the name of the service that the packet is
-	// for.
+	// for. Two services can have the same hash; see Agent.isForOwnService.
 	Service uint8
 }
 
--- a/internal/relay/sick_hosts_test.go
+++ b/internal/relay/sick_hosts_test.go
@@ -82,7 +82,7 @@
 		for _, core := range l.cores() {
 			core.Reach.RecordAnswer(l.agents[at].ID, l.now)
 		}
-		p.Echo = v.State.Encode()
+		p.Echo, p.Service = v.State.Encode(), []byte(v.Member.Service.Name)
 		v = l.agents[at].FromPeer(&p, l.now)
 		switch v.Action {
 		case ActionDeliver:
--- a/internal/relaynode/heldpackets.go
+++ b/internal/relaynode/heldpackets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 
 type heldPacket struct {
 	datagram []byte
+	// service is relay.Packet.Service.
+	service  []byte
 	fromHost bool
 	until    int64
 }
@@ -45,7 +48,7 @@
 	if _, known := h.packets[p.Key]; !known && len(h.packets) >= maxHeld {
 		return
 	}
-	h.packets[p.Key] = heldPacket{append([]byte(nil), p.Datagram...), fromHost, now + int64(holdTime)}
+	h.packets[p.Key] = heldPacket{slices.Clone(p.Datagram), slices.Clone(p.Service), fromHost, now + int64(holdTime)}
 }
 
 // release triggers a new decision on all held packets.
@@ -91,6 +94,7 @@
 			if err := p.adapter.Packets.Parse(h.datagram, &w.packet); err != nil {
 				continue // it was parsed before it was held
 			}
+			w.packet.Service = h.service
 			w.execute(&w.packet, w.decide(&w.packet, now), now)
 			w.out.Flush()
 		}
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -114,6 +114,11 @@
 
 func (w *worker) handle(datagram []byte, from netip.Addr, now int64) {
 	p := &w.packet
+	fromPeer := !w.fromHost && w.settings.GetAgent() != nil
+	var service []byte
+	if fromPeer {
+		datagram, service = w.adapter.Packets.SplitService(datagram)
+	}
 	if err := w.adapter.Packets.Parse(datagram, p); err != nil {
 		w.counters.badDatagram.Inc(1)
 		if w.log.AllowDecision() {
@@ -121,7 +126,8 @@
 		}
 		return
 	}
-	if !w.fromHost && w.settings.GetAgent() != nil && relay.DecodeSearchState(p.Echo).Probe {
+	p.Service = service
+	if fromPeer && relay.DecodeSearchState(p.Echo).Probe {
 		w.directory.SendHeartbeat(from)
 	}
 	if w.fromHost {
@@ -182,7 +188,7 @@
 	switch v.Action {
 	case relay.ActionForward:
 		w.adapter.Packets.SetEcho(p.Datagram, v.State.Encode())
-		w.out.Add(append(w.out.Next(), p.Datagram...), v.To)
+		w.out.Add(w.appendForwarded(w.out.Next(), p, v.Member), v.To)
 	case relay.ActionReturn:
 		w.out.Add(append(w.out.Next(), p.Datagram...), v.To)
 	case relay.ActionQueue:
@@ -202,6 +208,15 @@
 	}
 }
 
+// appendForwarded appends a packet for the agent of a member.
+func (w *worker) appendForwarded(dst []byte, p *relay.Packet, m *catalog.Member) []byte {
+	dst = append(dst, p.Datagram...)
+	if p.IsOpening() {
+		dst = w.adapter.Packets.AppendService(dst, m.Service.Name)
+	}
+	return dst
+}
+
 // copy returns a worker with the same decision functions and its own buffers.
 func (w *worker) copy() *worker {
 	c := *w
