Let only targets of configured services compete for an address

Cause: a view had one member for each IP address, the target whose item was written last. A host's own item does not become newer by heartbeats, so the entry hid the host for good, and searches without the host counted as complete. Ruled out: a decoding error; the entry decodes.

Change: targets of services that the configuration names compete for an address, as before; a target of any other service competes only with targets of its service. The same holds for targets that the store lost and for retired ones. Agents look up their own host by address and service. shared_addresses and a log line show several claims. Three tests used services without a configuration; now it names them, and they check the same.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -32,7 +33,7 @@
 		}
 		return Record{Configuration: &Configuration{Version: version, Routes: []Route{{
 			Name: "r", Destination: netip.MustParseAddrPort("198.18.0.1:443"), Services: []WeightedService{{"booking", 1}},
-		}}}}, nil
+		}}, Services: []ServiceSettings{{Name: "booking"}, {Name: "intake"}, {Name: "tracking"}}}}, nil
 	default:
 		if n, err := fmt.Sscanf(value, "%s %s %s %d %d", &address, &service, &state, &startedAtMillis, &sequence); n < 4 {
 			return Record{}, err
@@ -138,14 +139,52 @@
 func TestReusedAddressAndRestartedHost(t *testing.T) {
 	c := qt.New(t)
 	catalog := New(decode)
-	catalog.Replace([]Item{item("t1", 1, "10.0.0.1 booking ready 1")}, at(1), 0)
+	catalog.Replace([]Item{item("config", 1, "config 1"), item("t1", 1, "10.0.0.1 booking ready 1")}, at(1), 0)
 	catalog.Apply(at(1), at(2), []Item{item("t9", 2, "10.0.0.1 intake ready 2")}, 0)
 	c.Check(memberStates(catalog, 0), qt.DeepEquals, map[string]string{"t9": "intake active"})
-	c.Check(catalog.View(0, 8100).Service("booking"), qt.IsNil)
+	c.Check(catalog.View(0, 8100).Service("booking").Targets, qt.HasLen, 0)
 	changes, _ := catalog.Apply(at(2), at(3), []Item{item("t9", 3, "10.0.0.1 intake ready 7")}, 0)
 	c.Check(changes[0].Kind, qt.Equals, "restarted")
 }
 
+// TestForeignEntryTakesNoAddress guards against an entry of another writer that hides a
+// host, whose open flows would be reset: only services that the configuration names
+// compete for an address, whatever was written last and whether it is listed, lapsed or
+// lost by the store.
+func TestForeignEntryTakesNoAddress(t *testing.T) {
+	c := qt.New(t)
+	catalog := New(decode)
+	host := func(c *Catalog) string { return memberStates(c, 0)["t1"] }
+	foreign := item("odd", 9, "10.0.0.1 probe-exporter ready 9")
+	listed := []Item{item("config", 1, "config 1"), item("t1", 2, "10.0.0.1 booking ready 1")}
+	catalog.Replace(listed, at(8), 0)
+	catalog.Apply(at(8), at(9), []Item{foreign}, 0)
+	c.Check(host(catalog), qt.Equals, "booking active")
+	v := catalog.View(0, 8100)
+	m := v.Member(MemberID(netip.MustParseAddr("10.0.0.1")), "booking")
+	c.Assert(m, qt.IsNotNil)
+	key := packet.Key{Destination: netip.MustParseAddrPort("198.18.0.1:443")}
+	c.Check(slices.Equal(v.Candidates(v.Route(key.Destination), &key, nil), []*Member{m}), qt.IsTrue)
+	c.Check(slices.Equal(v.Route(key.Destination).SearchOrder(&key, false), []*Member{m}), qt.IsTrue)
+	shared := 0
+	v.SharedAddresses(func(uint32, []*Member) { shared++ })
+	c.Check(shared, qt.Equals, 1)
+
+	fresh := New(decode) // learns the same from a peer's snapshot
+	fresh.Replace(catalog.Snapshot(), at(9), 0)
+	c.Check(host(fresh), qt.Equals, "booking active")
+
+	catalog.Apply(at(9), at(10), []Item{{Key: "t1", Revision: 10, Deleted: true}}, 0)
+	c.Check(host(catalog), qt.Equals, "booking lapsed")
+	catalog.Apply(at(10), at(12), []Item{item("t1", 11, "10.0.0.1 booking draining 1"), {Key: "odd", Revision: 12, Deleted: true}}, 0)
+	c.Check(memberStates(catalog, 0), qt.DeepEquals, map[string]string{"t1": "booking draining", "odd": "probe-exporter lapsed"})
+
+	restored := New(decode)
+	restored.Replace(listed, at(8), 0)
+	restored.Replace([]Item{listed[0], foreign}, Position{Era: 2, Revision: 9}, 0)
+	c.Check(host(restored), qt.Equals, "booking active", qt.Commentf("an entry that the store lost stays in force"))
+}
+
 // TestStateDependsOnlyOnRevision guards against processes that have the same
 // revision but different states, whether they got their changes from the store
 // or from a peer.
--- a/internal/catalog/lost_test.go
+++ b/internal/catalog/lost_test.go
@@ -102,8 +102,9 @@
 func TestReusedAddressAfterRestore(t *testing.T) {
 	c := qt.New(t)
 	former := item("t1", 5, "10.0.0.1 booking ready 1 1")
-	catalog := newCatalog(item("t2", 20, "10.0.0.1 intake ready 2 1"))
-	catalog.Replace([]Item{former}, inEra(2, 15), 0)
+	configuration := item("config", 1, "config 1")
+	catalog := newCatalog(configuration, item("t2", 20, "10.0.0.1 intake ready 2 1"))
+	catalog.Replace([]Item{configuration, former}, inEra(2, 15), 0)
 	c.Check(memberStates(catalog, 0), qt.DeepEquals, map[string]string{"t2": "intake active"})
 	catalog.Apply(inEra(2, 15), inEra(2, 16), []Item{item("t3", 16, "10.0.0.1 tracking ready 3 1")}, 0)
 	c.Check(memberStates(catalog, 0), qt.DeepEquals, map[string]string{"t3": "tracking active"})
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -49,6 +49,8 @@
 	// Hash is a short hash of the name, carried by packets between processes. Two
 	// services can have the same hash.
 	Hash uint8
+	// configured is set if the configuration names the service.
+	configured bool
 	// members holds the service's members in search order, memberIDs their ids.
 	members   []*Member
 	memberIDs []uint32
@@ -77,7 +79,9 @@
 	hashView *bundle.View
 	routes   map[netip.AddrPort]*RouteView
 	services map[string]*Service
-	members  map[uint32]*Member
+	// members holds the members by their ids. An id has several members only if all
+	// but one belong to services that the configuration does not name.
+	members map[uint32][]*Member
 }
 
 // hashKey is the key of the hash that orders the candidates. It is the same in all
@@ -93,16 +97,16 @@
 		hashView: &bundle.View{HashKey: hashKey},
 		routes:   map[netip.AddrPort]*RouteView{},
 		services: map[string]*Service{},
-		members:  map[uint32]*Member{},
+		members:  map[uint32][]*Member{},
 	}
-	c.addMembers(v, now, agentPort)
 	if c.configuration != nil {
 		v.addConfiguration(c.configuration.record.Configuration)
 	}
+	c.addMembers(v, now, agentPort)
 	for _, s := range v.services {
 		slices.SortFunc(s.Targets, func(a, b *bundle.Target) int { return cmp.Compare(a.ID, b.ID) })
 		for _, t := range s.Targets {
-			s.members = append(s.members, v.members[t.ID])
+			s.members = append(s.members, v.Member(t.ID, s.Name))
 		}
 		slices.SortFunc(s.members, compareSearchOrder)
 		for _, m := range s.members {
@@ -136,42 +140,83 @@
 	r.members = slices.Compact(r.members) // a route may list a service several times
 }
 
-// addMembers adds registered targets, newest first, and then retired ones. An
-// address has only one member: the first target that is added with it.
+// addMembers adds registered targets and then retired ones, the latest first, if no
+// other target has their claim.
 func (c *Catalog) addMembers(v *View, now int64, agentPort uint16) {
-	for _, target := range c.registeredTargets() {
+	for _, target := range c.registeredTargets(v) {
 		state := Ready
 		if target.Draining {
 			state = Draining
 		}
 		v.addMember(target, state, agentPort)
 	}
+	var retired []retiredTarget
 	for key, r := range c.retired {
 		age := time.Duration(now - r.retiredAt)
 		if age > drainedRetention && !r.lapsed || age > lapsedRetention {
 			delete(c.retired, key)
 			continue
 		}
+		retired = append(retired, r)
+	}
+	slices.SortFunc(retired, func(a, b retiredTarget) int {
+		return cmp.Or(cmp.Compare(b.retiredAt, a.retiredAt), cmp.Compare(a.target.ID, b.target.ID))
+	})
+	for i := range retired {
+		r := &retired[i]
+		if v.hasClaim(&r.target) {
+			continue
+		}
 		state := Retired
-		if r.lapsed && age < lapseGrace {
+		if r.lapsed && time.Duration(now-r.retiredAt) < lapseGrace {
 			state = Lapsed
 		}
 		v.addMember(&r.target, state, agentPort)
 	}
 }
 
-// registeredTargets returns the targets of the store, newest first, and those that the
-// store lost. Of these two kinds the host that started later has an address, since
-// revisions of different eras cannot be compared.
-func (c *Catalog) registeredTargets() []*Target {
-	lost := map[netip.AddrPort]*Target{}
+// claim identifies what only one target can have at a time. The targets of all services
+// that the configuration names compete for an address: a host that is gone can still be
+// listed when another one has its address. A target of any other service may come from
+// another writer; it competes only with targets of the same service, so that it takes no
+// address away from a host.
+type claim struct {
+	address netip.Addr
+	// service is empty for services that the configuration names.
+	service string
+}
+
+func (v *View) claimOf(t *Target) claim {
+	k := claim{address: t.Host.Addr()}
+	if s := v.services[t.Service]; s == nil || !s.configured {
+		k.service = t.Service
+	}
+	return k
+}
+
+// hasClaim reports whether the claim of a target is taken.
+func (v *View) hasClaim(t *Target) bool {
+	wanted := v.claimOf(t)
+	return slices.ContainsFunc(v.members[MemberID(t.Host.Addr())], func(m *Member) bool {
+		s := v.services[m.Service.Name]
+		return wanted.service == "" && s.configured || m.Service.Name == wanted.service
+	})
+}
+
+// registeredTargets returns the targets of the store and those that the store lost, one
+// for each claim. Of two targets of the store the later one has the claim; of two others
+// it is the one whose host started later, since revisions of different eras cannot be
+// compared.
+func (c *Catalog) registeredTargets(v *View) []*Target {
+	lost := map[claim]*Target{}
 	for _, l := range c.lost {
 		t := l.record.Target
 		if t == nil || l.item.Deleted {
 			continue
 		}
-		if other := lost[t.Host]; other == nil || other.HostStartedAtMillis < t.HostStartedAtMillis {
-			lost[t.Host] = t
+		k := v.claimOf(t)
+		if other := lost[k]; other == nil || other.HostStartedAtMillis < t.HostStartedAtMillis {
+			lost[k] = t
 		}
 	}
 	stored := make([]*storedItem, 0, len(c.items))
@@ -184,15 +229,21 @@
 		return cmp.Or(cmp.Compare(b.item.Revision, a.item.Revision), cmp.Compare(a.item.Key, b.item.Key))
 	})
 	targets := make([]*Target, 0, len(stored)+len(lost))
+	taken := make(map[claim]bool, len(stored))
 	for _, s := range stored {
 		t := s.record.Target
-		if l := lost[t.Host]; l == nil || l.HostStartedAtMillis < t.HostStartedAtMillis {
-			targets = append(targets, t)
+		k := v.claimOf(t)
+		if l := lost[k]; taken[k] || l != nil && l.HostStartedAtMillis >= t.HostStartedAtMillis {
+			continue
 		}
-	}
-	for _, t := range lost {
+		taken[k] = true
 		targets = append(targets, t)
 	}
+	for k, t := range lost {
+		if !taken[k] {
+			targets = append(targets, t)
+		}
+	}
 	return targets
 }
 
@@ -208,9 +259,6 @@
 
 func (v *View) addMember(t *Target, state State, agentPort uint16) {
 	id := MemberID(t.Host.Addr())
-	if v.members[id] != nil {
-		return
-	}
 	s := v.service(t.Service)
 	m := &Member{
 		Target: &bundle.Target{
@@ -225,7 +273,7 @@
 		Host:  t.Host,
 		State: state,
 	}
-	v.members[id] = m
+	v.members[id] = append(v.members[id], m)
 	s.Targets = append(s.Targets, m.Target)
 }
 
@@ -233,12 +281,13 @@
 	v.ConfigurationKnown = true
 	v.Version = c.Version
 	for _, settings := range c.Services {
-		v.service(settings.Name)
+		v.service(settings.Name).configured = true
 	}
 	for _, r := range c.Routes {
 		route := &RouteView{Name: r.Name}
 		for _, weighted := range r.Services {
 			s := v.service(weighted.Service)
+			s.configured = true
 			route.Services = append(route.Services, s)
 			route.weights = append(route.weights, weighted.Weight)
 			route.addresses = append(route.addresses, &bundle.Address{
@@ -252,13 +301,34 @@
 // Route returns the route of a destination, or nil if there is none.
 func (v *View) Route(destination netip.AddrPort) *RouteView { return v.routes[destination] }
 
-// Member returns the member with the id, or nil if there is none.
-func (v *View) Member(id uint32) *Member { return v.members[id] }
+// Member returns the member of a service with the id, or nil if there is none.
+func (v *View) Member(id uint32, service string) *Member {
+	for _, m := range v.members[id] {
+		if m.Service.Name == service {
+			return m
+		}
+	}
+	return nil
+}
+
+// HasMember reports whether a member of any service has the id.
+func (v *View) HasMember(id uint32) bool { return len(v.members[id]) > 0 }
 
 // Members calls visit for each member, in no particular order.
 func (v *View) Members(visit func(*Member)) {
-	for _, m := range v.members {
-		visit(m)
+	for _, list := range v.members {
+		for _, m := range list {
+			visit(m)
+		}
+	}
+}
+
+// SharedAddresses calls visit for each id that several members have.
+func (v *View) SharedAddresses(visit func(id uint32, members []*Member)) {
+	for id, list := range v.members {
+		if len(list) > 1 {
+			visit(id, list)
+		}
 	}
 }
 
@@ -276,7 +346,7 @@
 	for i := range r.addresses {
 		a := r.addresses[(first+i)%len(r.addresses)]
 		for _, t := range placement.Candidates(v.hashView, a, k, buf[:0]) {
-			dst = append(dst, v.members[t.ID])
+			dst = append(dst, v.Member(t.ID, a.Service.Name))
 		}
 	}
 	return dst
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -152,7 +152,7 @@
 	if v == nil {
 		return true
 	}
-	m := v.Member(a.ID)
+	m := v.Member(a.ID, a.Service)
 	return m == nil || m.State == catalog.Ready || m.State == catalog.Lapsed
 }
 
--- a/internal/relaynode/process.go
+++ b/internal/relaynode/process.go
@@ -88,6 +88,9 @@
 
 	// viewSource is the origin of the current view; see exchange.Update.
 	viewSource atomic.Pointer[string]
+	// sharedAddresses holds the members that had the same address in the latest view;
+	// it is used by applyUpdate only.
+	sharedAddresses map[uint32]bool
 	stopping   atomic.Bool
 	lastPacket atomic.Int64
 }
@@ -181,7 +184,7 @@
 	confirmed := p.core.AsOf.Swap(u.AsOf) != u.AsOf
 	if u.View != nil {
 		first := p.core.View.Swap(u.View) == nil
-		p.core.Reach.Prune(func(id uint32) bool { return u.View.Member(id) != nil })
+		p.core.Reach.Prune(func(id uint32) bool { return u.View.HasMember(id) })
 		if p.onView != nil {
 			p.onView(u.View)
 		}
@@ -191,6 +194,7 @@
 		p.counters.revision.Update(float64(u.View.At.Revision))
 		p.counters.era.Update(float64(u.View.At.Era))
 		p.counters.version.Update(float64(u.View.Version))
+		p.recordSharedAddresses(u.View)
 		if first {
 			p.log.Info("first view", zap.Uint64("era", u.View.At.Era), zap.Uint64("revision", u.View.At.Revision), zap.String("source", u.Source))
 		}
@@ -203,6 +207,26 @@
 	}
 }
 
+// recordSharedAddresses counts the addresses that several targets claim, and logs new
+// ones.
+func (p *process) recordSharedAddresses(v *catalog.View) {
+	shared := map[uint32]bool{}
+	v.SharedAddresses(func(id uint32, members []*catalog.Member) {
+		shared[id] = true
+		if p.sharedAddresses[id] || !p.log.AllowDecision() {
+			return
+		}
+		var targets []string
+		for _, m := range members {
+			targets = append(targets, fmt.Sprintf("%s of %s, %s", m.Name, m.Service.Name, m.State))
+		}
+		p.log.Warn("several targets claim one address; only a target of a configured service is used",
+			zap.Stringer("address", members[0].Host.Addr()), zap.Strings("targets", targets))
+	})
+	p.sharedAddresses = shared
+	p.counters.sharedAddresses.Update(float64(len(shared)))
+}
+
 func (p *process) recordChange(c catalog.Change, source string) {
 	r := audit.Record{Source: source, Subject: c.Subject, To: c.Kind, Outcome: audit.Accepted,
 		Reason: fmt.Sprintf("revision %d", c.Revision)}
@@ -238,7 +262,7 @@
 func (p *process) recordSilentReport(ids []uint32) {
 	now, v := node.Clock(), p.core.View.Load()
 	for _, id := range ids {
-		if v != nil && v.Member(id) != nil {
+		if v != nil && v.HasMember(id) {
 			p.core.Reach.RecordReport(id, now)
 		}
 	}
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -25,6 +25,8 @@
 	// era and revision are the store's position in force, version is that of the
 	// configuration.
 	era, revision, version tally.Gauge
+	// sharedAddresses is the number of addresses that several targets claim.
+	sharedAddresses tally.Gauge
 	// responseTime is the time from the delivery of a request to the first packet
 	// of the host's response; queueTime is the time an opening spent in the queue.
 	responseTime, queueTime tally.Histogram
@@ -55,6 +57,9 @@
 		revision:     scope.Gauge("store_revision"),
 		era:          scope.Gauge("store_era"),
 		version:      scope.Gauge("configuration_version"),
+
+		sharedAddresses: scope.Gauge("shared_addresses"),
+
 		verdicts:     map[relay.Reason]tally.Counter{},
 		responseTime: scope.Histogram("request_to_answer", latencyBuckets),
 		queueTime:    scope.Histogram("opening_wait", latencyBuckets),
@@ -327,7 +332,7 @@
 		return nil, errors.Join(err, p.close())
 	}
 	p.onView = func(v *catalog.View) {
-		if m := v.Member(a.decisions.ID); m != nil {
+		if m := v.Member(a.decisions.ID, a.decisions.Service); m != nil {
 			a.decisions.Admission.SetSlots(m.Slots)
 		}
 	}
