Let packets pass a host that sends nothing

Cause: an agent delivers a packet of a flow that it does not know to its host and relies on the host to return it. Ruled out: silence of the agent; its process runs and answers probes.

Change: a host that sends nothing within 100 ms of a packet that requires an immediate response counts as silent. The agent keeps copies of these packets and forwards them, and forwards later ones at once with a duplicate for the host, until the host sends a packet. Such searches are inconclusive, so they reset nothing.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -56,6 +56,8 @@
 	// established is set once data of the client has been delivered, or when
 	// the flow is older than this process.
 	established bool
+	// seenFromHost is set once the host has sent a packet of the flow.
+	seenFromHost bool
 	// halfOpen is set until the client has acknowledged the host's SYN-ACK.
 	// answeredOpening is set when the host sent one, and hostInitialSequence
 	// is its sequence number.
@@ -123,14 +125,16 @@
 	// the time from a request that found a free slot to its response.
 	handshakeTime, serviceTime movingAverage
 	// health judges the host by its answers.
-	health    outlier.Detector
+	health outlier.Detector
+	// silence detects that the host sends nothing.
+	silence   hostSilence
 	queue     []queuedOpening // by requestStart, oldest first
 	lastSweep int64
 }
 
 // NewAdmission returns an Admission without a limit; see SetSlots.
 func NewAdmission() *Admission {
-	return &Admission{flows: map[packet.Key]*flowState{}}
+	return &Admission{flows: map[packet.Key]*flowState{}, silence: hostSilence{added: make(chan struct{}, 1)}}
 }
 
 // SetSlots sets the number of requests that the host serves at once; 0 means
@@ -189,6 +193,9 @@
 		a.forget(p.Key, f)
 		return
 	}
+	if p.IsOpening() || f == nil || !f.seenFromHost {
+		a.silence.recordDelivery(p, now)
+	}
 	if f == nil {
 		// The host will most likely return a packet of an unknown flow. Unless
 		// the packet is an opening, the flow is tracked only once the host has
@@ -247,6 +254,7 @@
 func (a *Admission) RecordResponse(k packet.Key, p *Packet, now int64) (took time.Duration, answer bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.silence.clear()
 	f := a.flows[k]
 	if f == nil {
 		if p.Flags&(FlagReturned|FlagRST|FlagSYN) != 0 || len(a.flows) >= maxFlows {
@@ -256,6 +264,7 @@
 		a.flows[k] = f
 	}
 	f.lastPacket = now
+	f.seenFromHost = true
 	switch {
 	case p.Flags.Has(FlagReturned):
 		a.forget(k, f)
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -85,6 +85,9 @@
 			verdict.Reason = ReasonOpenedElsewhere
 			return verdict
 		}
+		if a.Admission.HostSilentFor(p, now) {
+			return a.bypassSilentHost(p, state, now)
+		}
 		return Verdict{Action: ActionDeliver, Reason: ReasonOwnHost, State: state}
 	}
 	if v != nil && v.ConfigurationKnown && v.Route(p.Key.Destination) == nil && !state.hasLaterPosition(v.At) {
@@ -94,6 +97,9 @@
 	if !a.acceptsOpenings(v, now) {
 		return a.forwardNext(p, state, now)
 	}
+	if a.Admission.HostSilentFor(p, now) {
+		return a.bypassSilentHost(p, state, now)
+	}
 	if state.Hops < maxBusyRedirects && !a.Admission.Healthy(p.Key, now) {
 		if v := a.redirect(p, state, now); v.Action == ActionForward {
 			v.Reason = ReasonHostEjected
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -78,6 +78,7 @@
 	ReasonSenderNewerView  Reason = "sender_had_newer_view"
 	ReasonHostBusy         Reason = "host_busy"
 	ReasonHostEjected      Reason = "host_ejected"
+	ReasonHostSilent       Reason = "host_silent"
 	ReasonOpenedElsewhere  Reason = "opened_at_another_host"
 	ReasonOtherService     Reason = "for_another_service"
 	ReasonQueueFull        Reason = "queue_full"
@@ -89,7 +90,7 @@
 var Reasons = []Reason{
 	ReasonFirstCandidate, ReasonForwarded, ReasonOwnHost, ReasonAnswer, ReasonNoView, ReasonNoRoute, ReasonStaleNoRoute,
 	ReasonNoTarget, ReasonNoOwner, ReasonAllRefused, ReasonSearchIncomplete, ReasonUnconfirmed,
-	ReasonSenderNewerView, ReasonHostBusy, ReasonHostEjected, ReasonOpenedElsewhere, ReasonOtherService, ReasonQueueFull, ReasonSlotFree, ReasonDuplicate,
+	ReasonSenderNewerView, ReasonHostBusy, ReasonHostEjected, ReasonHostSilent, ReasonOpenedElsewhere, ReasonOtherService, ReasonQueueFull, ReasonSlotFree, ReasonDuplicate,
 }
 
 // Verdict is the decision on one packet.
@@ -106,6 +107,9 @@
 	// Duplicates are members that may be unreachable but may have the flow. The
 	// agent of each gets a duplicate of the packet; see DuplicateState.
 	Duplicates []*catalog.Member
+	// DuplicateToHost is set if the agent's own host gets a duplicate of a packet that
+	// is forwarded.
+	DuplicateToHost bool
 }
 
 // maxDuplicates bounds the duplicates of one packet.
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -43,6 +43,10 @@
 	refusesOpenings bool
 	// down makes the host's address refuse datagrams.
 	down bool
+	// silent makes the host take packets and send none.
+	silent bool
+	// quiet makes the host send nothing on its flows.
+	quiet bool
 }
 
 func newFleet(t *testing.T, targets ...catalog.Target) *fleet {
@@ -167,6 +171,9 @@
 		f.sendDuplicates(p, v)
 		p.Echo, p.Service = v.State.Encode(), []byte(v.Member.Service.Name)
 		if v = agent.FromPeer(&p, f.now); v.Action != ActionDeliver {
+			if v.DuplicateToHost {
+				f.deliverDuplicate(agent, p, v)
+			}
 			continue
 		}
 		p.Echo = v.State.Encode()
@@ -176,7 +183,17 @@
 		}
 		f.visited = append(f.visited, at)
 		agent.Admission.RecordDelivery(&p, f.now)
+		if f.hosts[at].silent {
+			f.advance(HostSilenceTimeout)
+			unanswered, _ := agent.Admission.TakeUnanswered(f.now)
+			f.c.Assert(unanswered, qt.HasLen, 1)
+			v = agent.HostUnresponsive(&unanswered[0], f.now)
+			continue
+		}
 		if f.hosts[at].accepts(&p) {
+			if !f.hosts[at].quiet {
+				agent.Admission.RecordResponse(p.Key, &Packet{Flags: FlagACK}, f.now)
+			}
 			return at, v
 		}
 		returned := p
@@ -198,13 +215,26 @@
 		for _, core := range f.cores() {
 			core.Reach.RecordAnswer(agent.ID, f.now) // the agent answers probes
 		}
-		p.Echo = v.DuplicateState().Encode()
-		if f.hosts[m.Agent.Addr()].accepts(&p) {
-			f.duplicateAt = m.Agent.Addr()
-			continue
+		f.deliverDuplicate(agent, p, v)
+	}
+}
+
+// deliverDuplicate delivers a duplicate of a packet to the host of an agent.
+func (f *fleet) deliverDuplicate(agent *Agent, p Packet, v Verdict) {
+	at := catalog.MemberAddress(agent.ID)
+	p.Echo = v.DuplicateState().Encode()
+	agent.Admission.RecordDelivery(&p, f.now)
+	switch h := f.hosts[at]; {
+	case h.silent:
+	case h.accepts(&p):
+		f.duplicateAt = at
+		if !h.quiet {
+			agent.Admission.RecordResponse(p.Key, &Packet{Flags: FlagACK}, f.now)
 		}
+	default:
 		returned := p
 		returned.Flags |= FlagReturned
+		agent.Admission.RecordResponse(p.Key, &returned, f.now)
 		f.c.Assert(agent.FromHost(&returned, f.now).Action, qt.Equals, ActionDrop, qt.Commentf("a duplicate is not forwarded"))
 	}
 }
--- a/internal/relay/hosthealth.go
+++ b/internal/relay/hosthealth.go
@@ -25,6 +25,7 @@
 func (a *Admission) RecordHostDown(now int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.silence.clear()
 	if a.pendingRequests > 0 {
 		a.health.Crashed(now)
 	}
--- a/internal/relaynode/process.go
+++ b/internal/relaynode/process.go
@@ -85,14 +85,16 @@
 	held           *heldPackets
 	// onView is called with each new view; nil in an entry.
 	onView func(*catalog.View)
+	// background runs beside the workers until its context is cancelled; nil in an entry.
+	background func(context.Context) error
 
 	// viewSource is the origin of the current view; see exchange.Update.
 	viewSource atomic.Pointer[string]
 	// sharedAddresses holds the members that had the same address in the latest view;
 	// it is used by applyUpdate only.
 	sharedAddresses map[uint32]bool
-	stopping   atomic.Bool
-	lastPacket atomic.Int64
+	stopping        atomic.Bool
+	lastPacket      atomic.Int64
 }
 
 // open opens the resources that both roles need. Its errors name the setting or
@@ -281,6 +283,9 @@
 	p.directory.AddActors(&group, stopped, stop)
 	node.AddActor(&group, stopped, stop, func(c context.Context) error { return p.replay(c, r) })
 	node.AddActor(&group, stopped, stop, p.watchSettings)
+	if p.background != nil {
+		node.AddActor(&group, stopped, stop, p.background)
+	}
 	node.AddActor(&group, stopped, stop, p.serve(p.readyListener, http.HandlerFunc(p.serveReady)))
 	if p.statusListener != nil {
 		mux := http.NewServeMux()
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -16,6 +16,7 @@
 	"github.com/heathergw/heathergw/internal/node"
 	"github.com/heathergw/heathergw/internal/outlier"
 	"github.com/heathergw/heathergw/internal/relay"
+	"github.com/heathergw/heathergw/internal/wait"
 	"github.com/heathergw/heathergw/internal/wire"
 )
 
@@ -39,6 +40,8 @@
 	// healthy host, 1 for an ejected one and 2 for one on trial.
 	hostEjections tally.Counter
 	hostState     tally.Gauge
+	// hostSilent is 1 while the host takes packets and sends none.
+	hostSilent tally.Gauge
 }
 
 // latencyBuckets range from a hop within a data centre to the longest deadline of
@@ -68,6 +71,7 @@
 
 		hostEjections: scope.Counter("host_ejections"),
 		hostState:     scope.Gauge("host_state"),
+		hostSilent:    scope.Gauge("host_silent"),
 	}
 	for _, r := range relay.Reasons {
 		c.verdicts[r] = scope.Tagged(map[string]string{"reason": string(r)}).Counter("packets")
@@ -145,6 +149,7 @@
 	if w.admission != nil {
 		w.admit(now)
 		w.recordHealth()
+		w.recordHostSilence()
 	}
 }
 
@@ -161,6 +166,23 @@
 	}
 }
 
+// recordHostSilence logs and counts when the host becomes silent and when it sends
+// packets again.
+func (w *worker) recordHostSilence() {
+	silent, changed := w.admission.HostSilenceChanged()
+	if !changed {
+		return
+	}
+	address := zap.Stringer("host", w.hostConn.RemoteAddr())
+	if silent {
+		w.counters.hostSilent.Update(1)
+		w.log.Warn("host takes packets and sends none; its agent forwards them to other hosts", address)
+		return
+	}
+	w.counters.hostSilent.Update(0)
+	w.log.Info("host sends packets again", address)
+}
+
 // admit delivers queued openings while the host has free slots.
 func (w *worker) admit(now int64) {
 	for datagram, waited := w.admission.Dequeue(now); datagram != nil; datagram, waited = w.admission.Dequeue(now) {
@@ -194,6 +216,9 @@
 	case relay.ActionForward:
 		w.adapter.Packets.SetEcho(p.Datagram, v.State.Encode())
 		w.out.Add(w.appendForwarded(w.out.Next(), p, v.Member), v.To)
+		if v.DuplicateToHost {
+			w.deliver(p, v.DuplicateState(), now)
+		}
 	case relay.ActionReturn:
 		w.out.Add(append(w.out.Next(), p.Datagram...), v.To)
 	case relay.ActionQueue:
@@ -222,6 +247,32 @@
 	return dst
 }
 
+// bypassHost forwards the packets that the host takes and does not respond to.
+func (w *worker) bypassHost(ctx context.Context, decide func(p *relay.Packet, now int64) relay.Verdict) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.admission.Unanswered():
+		}
+		for next := relay.HostSilenceTimeout; next > 0; {
+			if wait.For(ctx, next) != nil {
+				return nil
+			}
+			now := node.Clock()
+			var unanswered []relay.Packet
+			unanswered, next = w.admission.TakeUnanswered(now)
+			for i := range unanswered {
+				w.execute(&unanswered[i], decide(&unanswered[i], now), now)
+			}
+			if len(unanswered) > 0 {
+				w.out.Flush()
+				w.recordHostSilence()
+			}
+		}
+	}
+}
+
 // copy returns a worker with the same decision functions and its own buffers.
 func (w *worker) copy() *worker {
 	c := *w
@@ -360,5 +411,7 @@
 		admission: a.decisions.Admission, enqueue: a.decisions.Enqueue, decide: a.decisions.FromHost, decideRefused: a.decisions.HostRefused, fromHost: true,
 	}
 	defer func() { _ = a.hostConn.Close() }() // a datagram socket has no pending data to lose
+	bypass := peers.copy()
+	a.background = func(c context.Context) error { return bypass.bypassHost(c, a.decisions.HostUnresponsive) }
 	return a.run(ctx, replayWorkers{network: peers.copy(), host: host.copy()}, peers, host)
 }
