--- a/internal/exchange/directory_test.go
+++ b/internal/exchange/directory_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -127,6 +128,33 @@
 	waitUntil(c, 3*time.Second, "a change after the store discarded its history", upToDate)
 }
 
+// Guards against entries of other writers that end a reader or stop it from following
+// the store: a configuration that is written after them is in force within 3 s, at a
+// running process and at a fresh one.
+func TestOddEntriesStopNoReader(t *testing.T) {
+	c := qt.New(t)
+	s := platformtest.NewStore()
+	s.PutConfiguration(3, map[netip.AddrPort]string{netip.MustParseAddrPort("198.18.0.1:443"): "booking"})
+	running := startMember(c, "127.20.1.1", true, s)
+	waitUntil(c, 5*time.Second, "first view", func() bool { return running.revision() == s.Revision() })
+	for i, value := range []string{
+		"", "null", "[]", "\xff\xfe", `{"Slots":1e400}`, `{"Slots":` + strings.Repeat("9", 100_000) + `}`,
+		strings.Repeat("[", 700_000), `{"a":` + strings.Repeat(`{"a":`, 100_000), `{"Address":"` + strings.Repeat("x", 900_000) + `"}`,
+		`{"Service":"s","Address":"10.0.0.1:70000","Zone":"a","Version":"v","Slots":1,"State":"ready","ColdLeftMs":0,"Sequence":1}`,
+		`{"Service":"s","Address":"255.255.255.255:1","Zone":"a","Version":"v","Slots":9223372036854775807,"State":"ready","ColdLeftMs":0,"Sequence":1}`,
+	} {
+		s.Put(fmt.Sprint("servers/odd-", i), []byte(value))
+		s.PutConfiguration(uint64(4+i), nil)
+		waitUntil(c, 3*time.Second, fmt.Sprintf("the configuration after %.40q", value), func() bool {
+			return running.view.Load().Version == uint64(4+i)
+		})
+	}
+	fresh := startMember(c, "127.20.1.2", true, s)
+	waitUntil(c, 3*time.Second, "first view of a fresh process", func() bool { return fresh.revision() == s.Revision() })
+	c.Check(fresh.view.Load().Version, qt.Equals, running.view.Load().Version)
+	fresh.view.Load().Members(func(m *catalog.Member) { c.Errorf("member %s of an odd entry", m.Name) })
+}
+
 // Guards against a load on the store that grows with the fleet: three processes
 // read the store and the rest get changes from them.
 func TestFewProcessesCallTheStore(t *testing.T) {
