Require a new confirmation for a flow whose ports are used again

A live flow could be reset by a view that is older than its first packet (FLOW).

Cause: the time of the first packet of a flow without an owner was kept by addresses and ports without an end, so a later flow with the same ports found the time of the earlier one.

Change: the time is taken anew after 2 s without a packet recorded.

Measured: TestReusedPortsNeedNewConfirmation fails before (a reset in place of a hold) and passes now.

--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -168,6 +168,11 @@
 // announcements go to all processes at once.
 const ConfirmedViewAge = 100 * time.Millisecond
 
+// ownerlessTimeout is the time after which an earlier packet with the same addresses and
+// ports belongs to an earlier flow: longer than the longest interval between two
+// retransmissions of a packet, 1.6 s.
+const ownerlessTimeout = 2 * time.Second
+
 // confirmedOwnerless reports whether it is certain that no host has the flow. The
 // owner may be a target that registered after this view. With a view older than
 // ConfirmedViewAge the time of the flow's first packet is recorded: a view that
@@ -178,7 +183,7 @@
 		return true
 	}
 	first, known := a.ownerlessSince.Get(p.Key)
-	if !known {
+	if !known || time.Duration(now-first) > ownerlessTimeout {
 		a.ownerlessSince.Add(p.Key, now)
 		return false
 	}
--- a/internal/relay/search_test.go
+++ b/internal/relay/search_test.go
@@ -183,6 +183,28 @@
 	f.c.Check(v.To, qt.Equals, netip.AddrPortFrom(flowKey(2).Source.Addr(), testPort))
 }
 
+// TestReusedPortsNeedNewConfirmation guards against a reset of a live flow with a view
+// that was confirmed after a packet of an earlier flow with the same addresses and ports,
+// but not after one of this flow.
+func TestReusedPortsNeedNewConfirmation(t *testing.T) {
+	f := newFleet(t, targets(3)...)
+	f.advance(ConfirmedViewAge + 1)
+	_, v := f.sendData(1)
+	f.c.Assert(v.Action, qt.Equals, ActionHold)
+
+	f.advance(30 * time.Second)
+	f.distributeView()
+	// A host that registers after this view has a flow with the same ports.
+	f.advance(ConfirmedViewAge + 1)
+	_, v = f.sendData(1)
+	f.c.Check(v.Action, qt.Equals, ActionHold)
+	_, v = f.sendData(1)
+	f.c.Check(v.Action, qt.Equals, ActionHold, qt.Commentf("the view is still older than the flow's first packet"))
+	f.distributeView()
+	_, v = f.sendData(1)
+	f.c.Check(v.Action, qt.Equals, ActionReset)
+}
+
 // TestSilentCandidatePreventsReset guards against a reset while a skipped
 // candidate may have the flow: its agent is silent, but the store still lists
 // the target.
