Make progress whatever the size of the changes

Cause: a watch returns all changes in one response, and a reader whose limit it exceeds repeated it until the store dropped its history. Peers sent the same versions, 64 changes without a limit of bytes, and failed as well. Ruled out as the only way: slow links, which have the same effect.

Change: such a watch is followed by a list. Unreadable values, unused keys and unknown fields of long targets are not kept. Of the kept changes a later one of a key replaces the earlier one; after a list the difference is kept for peers. Two responses to pulls are encoded at a time. Errors name their limit, and the line about failed pulls is rate-limited. Change.Err is now Change.Refusal, as peers get the text; the test that read it is as strict.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,6 +9,7 @@
 package catalog
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -28,7 +29,8 @@
 	// when it disappeared: its last packets may still be in transit.
 	drainedRetention = time.Second
 	// maxRecentChanges limits the changes kept for peers that are slightly
-	// behind. In a series of configurations there are at most 17 per second.
+	// behind, the latest of each key. In a series of configurations there are at most
+	// 17 changes per second.
 	maxRecentChanges = 64
 )
 
@@ -39,6 +41,34 @@
 	// Revision is the store's revision at which the key last changed.
 	Revision uint64
 	Deleted  bool
+	// Refusal states why the value cannot be used; the value is then omitted.
+	Refusal string
+	// Decoded is the decoded value; nil before Prepare.
+	Decoded *Record
+}
+
+// Prepare decodes an item and omits the bytes that no process needs: those of a value
+// that cannot be decoded or that the catalog does not use, and what the decoder ignores.
+func (d DecodeFunc) Prepare(it Item) Item {
+	if it.Deleted || it.Decoded != nil {
+		return it
+	}
+	record := Record{}
+	if it.Refusal == "" {
+		var err error
+		if record, err = d(it); err != nil {
+			record, it.Refusal = Record{}, err.Error()
+		}
+	}
+	switch {
+	case record.Configuration == nil && record.Target == nil:
+		it.Value = nil
+	case record.Value != nil:
+		it.Value = record.Value
+	}
+	record.Value = nil
+	it.Decoded = &record
+	return it
 }
 
 // Route maps a destination address in the fabric to services.
@@ -98,6 +128,9 @@
 type Record struct {
 	Configuration *Configuration
 	Target        *Target
+	// Value is a shorter encoding of the record than the item's value; nil if there is
+	// none.
+	Value []byte
 }
 
 // DecodeFunc decodes the value of an item that is not deleted. Its error names
@@ -116,8 +149,8 @@
 	Revision uint64
 	// Version is the version of a configuration, otherwise 0.
 	Version uint64
-	// Err is the decoding error of a refused item.
-	Err error
+	// Refusal is the reason for which an item was refused.
+	Refusal string
 }
 
 // storedItem is an item with its decoded form.
@@ -140,11 +173,11 @@
 	position Position
 	asOf     int64
 	items    map[string]*storedItem
-	// recentChanges holds the latest changes of the era in the order of their
-	// revisions, recentBase the revision to which they apply.
+	// recentChanges holds the latest changes of the era, at most one of each key,
+	// recentBase the revision to which they apply.
 	recentChanges []Item
 	recentBase    uint64
-	// transition holds the changes that led into the era; nil if unknown.
+	// transition holds the changes that led to recentBase; nil if unknown.
 	transition *transition
 	retired    map[string]retiredTarget
 	// configuration is the newest configuration that could be decoded, with its item.
@@ -194,18 +227,23 @@
 	case !c.position.Known():
 		c.eraSince = asOf
 	}
+	former := maps.Clone(c.items)
 	present := make(map[string]bool, len(items))
 	var changes []Change
 	for _, item := range items {
 		present[item.Key] = true
-		changes = c.putItem(item, asOf, changes)
+		changes = c.putItem(c.decode.Prepare(item), asOf, changes)
 	}
 	for key, h := range c.items {
 		if !present[key] && h.item.Revision <= p.Revision {
 			changes = c.putItem(Item{Key: key, Revision: p.Revision, Deleted: true}, asOf, changes)
 		}
 	}
-	c.recentChanges, c.recentBase, c.transition = nil, p.Revision, nil
+	c.transition = nil
+	if c.position.Known() {
+		c.transition = &transition{base: c.position, items: difference(former, c.items, p.Revision)}
+	}
+	c.recentChanges, c.recentBase = nil, p.Revision
 	c.advance(p, asOf)
 	return changes
 }
@@ -229,16 +267,26 @@
 		if item.Revision <= c.position.Revision {
 			continue
 		}
+		item = c.decode.Prepare(item)
 		changes = c.putItem(item, asOf, changes)
-		c.recentChanges = append(c.recentChanges, item)
+		c.recordRecent(item)
 	}
+	c.advance(p, asOf)
+	return changes, true
+}
+
+// recordRecent adds a change to the recent ones. A later change of a key replaces an
+// earlier one, so that a series of configurations takes no more memory than one.
+func (c *Catalog) recordRecent(item Item) {
+	c.recentChanges = slices.DeleteFunc(c.recentChanges, func(other Item) bool { return other.Key == item.Key })
+	c.recentChanges = append(c.recentChanges, item)
 	if excess := len(c.recentChanges) - maxRecentChanges; excess > 0 {
-		c.recentBase = c.recentChanges[excess-1].Revision
+		for _, dropped := range c.recentChanges[:excess] {
+			c.recentBase = max(c.recentBase, dropped.Revision)
+		}
 		c.recentChanges = slices.Delete(c.recentChanges, 0, excess)
 		c.transition = nil
 	}
-	c.advance(p, asOf)
-	return changes, true
 }
 
 func (c *Catalog) advance(p Position, asOf int64) {
@@ -261,13 +309,13 @@
 	case base.Era != c.position.Era || base.Revision < c.recentBase:
 		return nil, false
 	}
-	first, _ := slices.BinarySearchFunc(c.recentChanges, base.Revision+1, func(item Item, revision uint64) int {
-		if item.Revision < revision {
-			return -1
+	var items []Item
+	for _, item := range c.recentChanges {
+		if item.Revision > base.Revision {
+			items = append(items, item)
 		}
-		return 1
-	})
-	return c.recentChanges[first:], true
+	}
+	return items, true
 }
 
 // Snapshot returns all items of the store at the catalog's position in no particular
@@ -294,8 +342,8 @@
 	}
 }
 
-// putItem stores one item. An item that cannot be decoded is kept for peers, but
-// it defines no target, and the last valid configuration stays in effect.
+// putItem stores one prepared item. An item that cannot be decoded defines no target,
+// and the last valid configuration stays in effect.
 func (c *Catalog) putItem(item Item, now int64, changes []Change) []Change {
 	if stored := c.items[item.Key]; stored != nil && stored.item.Revision >= item.Revision {
 		return changes
@@ -320,14 +368,12 @@
 	return c.recordDifference(before, stored, item.Revision, now, changes)
 }
 
-// store decodes an item and keeps it as the store's.
+// store keeps a prepared item as the store's.
 func (c *Catalog) store(item Item, changes []Change) (*storedItem, []Change) {
-	record, err := c.decode(item)
-	if err != nil {
-		changes = append(changes, Change{Subject: item.Key, Kind: "refused", Revision: item.Revision, Err: err})
-		record = Record{}
+	if item.Refusal != "" {
+		changes = append(changes, Change{Subject: item.Key, Kind: "refused", Revision: item.Revision, Refusal: item.Refusal})
 	}
-	stored := &storedItem{item, record}
+	stored := &storedItem{item, *item.Decoded}
 	c.items[item.Key] = stored
 	return stored, changes
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -105,7 +105,7 @@
 	catalog.Replace([]Item{item("config", 1, "config 1"), item("t1", 2, "10.0.0.1 booking ready 1")}, at(2), 1)
 	changes, _ := catalog.Apply(at(2), at(4), []Item{item("config", 3, "bad"), item("t2", 4, "bad")}, 1)
 	c.Assert(changes, qt.HasLen, 2)
-	c.Check(changes[0].Err, qt.ErrorIs, errBadValue)
+	c.Check(changes[0].Refusal, qt.Equals, errBadValue.Error())
 	v := catalog.View(1, 8100)
 	c.Check(v.ConfigurationKnown, qt.IsTrue)
 	c.Check(v.Version, qt.Equals, uint64(1))
@@ -147,6 +147,88 @@
 	c.Check(changes[0].Kind, qt.Equals, "restarted")
 }
 
+// TestUnusedBytesAreNotKept guards against values that take memory and datagrams at every
+// process although none can use them: unreadable ones and those of unused keys. A process
+// that learns them from a peer refuses them as well, for the same reason.
+func TestUnusedBytesAreNotKept(t *testing.T) {
+	c := qt.New(t)
+	first := New(func(it Item) (Record, error) {
+		if strings.HasPrefix(it.Key, "unused") {
+			return Record{}, nil
+		}
+		return decode(it)
+	})
+	first.Replace([]Item{item("config", 1, "config 1")}, at(1), 0)
+	first.Apply(at(1), at(4), []Item{item("t1", 2, "bad"), item("unused/key", 3, "text"), item("t2", 4, "10.0.0.2 booking ready 1")}, 0)
+	since, ok := first.Since(at(1))
+	c.Assert(ok, qt.IsTrue)
+	for _, items := range [][]Item{since, first.Snapshot()} {
+		for _, it := range items {
+			switch it.Key {
+			case "t1":
+				c.Check(it.Value, qt.HasLen, 0)
+				c.Check(it.Refusal, qt.Equals, errBadValue.Error())
+			case "unused/key":
+				c.Check(it.Value, qt.HasLen, 0)
+				c.Check(it.Refusal, qt.Equals, "")
+			default:
+				c.Check(len(it.Value) > 0, qt.IsTrue)
+			}
+		}
+	}
+	received := make([]Item, 0, len(since))
+	for _, it := range since {
+		it.Decoded = nil // not sent
+		received = append(received, it)
+	}
+	second := New(decode)
+	second.Replace([]Item{item("config", 1, "config 1")}, at(1), 0)
+	changes, ok := second.Apply(at(1), at(4), received[:1], 0)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(changes, qt.DeepEquals, []Change{{Subject: "t1", Kind: "refused", Revision: 2, Refusal: errBadValue.Error()}})
+}
+
+// TestSeriesOfConfigurationsIsOneChange guards against recent changes whose memory grows
+// with the number of configurations, and against a peer that misses one of the others.
+func TestSeriesOfConfigurationsIsOneChange(t *testing.T) {
+	c := qt.New(t)
+	first, second := New(decode), New(decode)
+	first.Replace([]Item{item("config", 1, "config 1")}, at(1), 0)
+	second.Replace(first.Snapshot(), at(1), 0)
+	for revision := uint64(2); revision < 40; revision++ {
+		it := item("config", revision, fmt.Sprint("config ", revision))
+		if revision%10 == 0 {
+			it = item(fmt.Sprint("t", revision), revision, fmt.Sprintf("10.0.0.%d booking ready 1", revision))
+		}
+		first.Apply(at(revision-1), at(revision), []Item{it}, 0)
+	}
+	since, ok := first.Since(at(1))
+	c.Assert(ok, qt.IsTrue)
+	c.Check(since, qt.HasLen, 4)
+	_, ok = second.Apply(at(1), first.Position(), since, 0)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(second.View(0, 8100).Version, qt.Equals, uint64(39))
+	c.Check(memberStates(second, 0), qt.DeepEquals, memberStates(first, 0))
+}
+
+// TestListKeepsChangesForPeers guards against peers that all need a snapshot after a
+// reader had to list all items.
+func TestListKeepsChangesForPeers(t *testing.T) {
+	c := qt.New(t)
+	first, second := New(decode), New(decode)
+	before := []Item{item("config", 1, "config 1"), item("t1", 2, "10.0.0.1 booking ready 1"), item("t2", 3, "10.0.0.2 booking ready 1")}
+	first.Replace(before, at(3), 0)
+	second.Replace(before, at(3), 0)
+	first.Replace([]Item{item("config", 5, "config 2"), before[1], item("t3", 6, "10.0.0.3 booking ready 1")}, at(7), 0)
+	since, ok := first.Since(at(3))
+	c.Assert(ok, qt.IsTrue)
+	c.Check(since, qt.HasLen, 3, qt.Commentf("two new items and a removal"))
+	_, ok = second.Apply(at(3), at(7), since, 0)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(second.View(0, 8100).Version, qt.Equals, uint64(2))
+	c.Check(memberStates(second, 0), qt.DeepEquals, memberStates(first, 0))
+}
+
 // TestForeignEntryTakesNoAddress guards against an entry of another writer that hides a
 // host, whose open flows would be reset: only services that the configuration names
 // compete for an address, whatever was written last and whether it is listed, lapsed or
--- a/internal/catalog/lost.go
+++ b/internal/catalog/lost.go
@@ -40,8 +40,8 @@
 	removedAt int64
 }
 
-// transition holds the changes from the last position of an earlier era to the first
-// one of the present era.
+// transition holds the changes from an earlier position to a later one when the single
+// changes between them are not known: after a list, and into an era.
 type transition struct {
 	base  Position
 	items []Item
@@ -86,7 +86,7 @@
 	var changes []Change
 	for _, item := range items {
 		var stored *storedItem
-		stored, changes = c.store(item, changes)
+		stored, changes = c.store(c.decode.Prepare(item), changes)
 		if r, ok := removed[item.Key]; ok && stored.target() != nil && !stored.supersedes(&r) {
 			changes = c.keepLost(r, false, p, changes)
 			continue
@@ -269,13 +269,13 @@
 	c.eraSince = min(c.eraSince, now-int64(eraAge))
 	var changes []Change
 	for _, item := range items {
-		record, err := c.decode(Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
-		if err != nil {
+		prepared := c.decode.Prepare(Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Refusal: item.Refusal})
+		if prepared.Refusal != "" {
 			continue // a peer keeps only items that it could decode
 		}
 		stored := c.items[item.Key]
-		candidate := &lostItem{storedItem{item, record}, stored == nil}
-		if !candidate.adds(c.lost[item.Key], stored) || record.Target != nil && now >= c.expiry(candidate) {
+		candidate := &lostItem{storedItem{item, *prepared.Decoded}, stored == nil}
+		if !candidate.adds(c.lost[item.Key], stored) || candidate.record.Target != nil && now >= c.expiry(candidate) {
 			continue
 		}
 		before := c.current(item.Key)
--- a/internal/configstore/client.go
+++ b/internal/configstore/client.go
@@ -230,9 +230,12 @@
 	return Value{Data: data, Index: responseIndex}, nil
 }
 
+// errBodyIncomplete means that a response began and did not end.
+var errBodyIncomplete = errors.New("platform: response is incomplete")
+
 // fetch sends a GET request and reads the whole response body. The error is
-// ErrTooLarge, together with the status and header, when the body exceeds limit, and
-// otherwise the error of the request.
+// ErrTooLarge, together with the status and header, when the body exceeds limit, wraps
+// errBodyIncomplete when the body ends early, and is otherwise the error of the request.
 func (c *Client) fetch(ctx context.Context, requestURL string, limit int64) (int, http.Header, []byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, requestURL, nil)
 	if err != nil {
@@ -245,7 +248,7 @@
 	defer func() { _ = response.Body.Close() }() // the body has been read
 	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
-		return 0, nil, nil, err
+		return 0, nil, nil, fmt.Errorf("%w: %w", errBodyIncomplete, err)
 	}
 	if int64(len(data)) > limit {
 		return response.StatusCode, response.Header, nil, ErrTooLarge
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -26,8 +26,22 @@
 	// maxResponseBytes limits one response. A page holds at most 1 MB of values, and
 	// base64 makes them a third longer.
 	maxResponseBytes = 4 << 20
+	// maxIncompleteWatches is the number of watches in a row whose response does not end
+	// after which the reader lists all items: on a slow link a large response needs more
+	// time than a call has.
+	maxIncompleteWatches = 2
 )
 
+// RequiresList reports whether a watch cannot go on and all items must be listed.
+func RequiresList(err error) bool {
+	return errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrResponseTooLarge)
+}
+
+// ErrResponseTooLarge means that a response exceeds what is read at once, or that it
+// repeatedly did not end in time. The pages of a list have a limited size; a watch returns
+// all changes in one response.
+var ErrResponseTooLarge = errors.New("platform: response is too large")
+
 // ErrHistoryLost means that the store no longer has the changes after the requested
 // revision. The reader must list all items again.
 var ErrHistoryLost = errors.New("platform: the store no longer has the requested revisions")
@@ -73,6 +87,11 @@
 	api    StoreAPI
 	// timeout is storeTimeout or slowStoreTimeout; it applies to the next call.
 	timeout time.Duration
+	// incompleteWatches counts the watches in a row whose response did not end.
+	incompleteWatches int
+	// Prepare is applied to the items of each response, so that a list does not hold the
+	// values of all pages. If it is nil, the items stay as they are.
+	Prepare func(catalog.Item) catalog.Item
 }
 
 // NewStore returns a reader of the store at the base URL of the client.
@@ -108,6 +127,12 @@
 // without items when the wait ends.
 func (s *Store) Watch(ctx context.Context, after uint64, wait time.Duration) (Response, error) {
 	changes, err := s.call(ctx, s.api.WatchPath(after, wait), wait+s.timeout)
+	if !errors.Is(err, errBodyIncomplete) {
+		s.incompleteWatches = 0
+	} else if s.incompleteWatches++; s.incompleteWatches >= maxIncompleteWatches {
+		s.incompleteWatches = 0
+		err = fmt.Errorf("%w: %w", ErrResponseTooLarge, err)
+	}
 	if err != nil {
 		return Response{}, fmt.Errorf("watch: %w", err)
 	}
@@ -128,10 +153,17 @@
 	if err == nil {
 		s.timeout = storeTimeout
 		response, err = s.api.Decode(status, header, body)
+		if s.Prepare != nil {
+			for i, item := range response.Items {
+				response.Items[i] = s.Prepare(item)
+			}
+		}
+	} else if errors.Is(err, ErrTooLarge) {
+		err = fmt.Errorf("%w: more than %d bytes", ErrResponseTooLarge, maxResponseBytes)
 	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		s.timeout = slowStoreTimeout
 	}
-	if err != nil && !errors.Is(err, ErrHistoryLost) {
+	if err != nil && !RequiresList(err) {
 		s.client.metrics.failures.Inc(1)
 	}
 	return response, err
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -145,6 +145,8 @@
 	// compressMu guards compressor; no other lock is taken under it.
 	compressMu sync.Mutex
 	compressor *flate.Writer
+	// responses holds a value for each response to a pull that is being encoded.
+	responses chan struct{}
 
 	pulls    chan netip.Addr
 	confirms chan int64
@@ -174,14 +176,17 @@
 		return nil, err
 	}
 	scope = scope.SubScope("exchange")
+	store, confirmStore := newStore(), newStore()
+	store.Prepare, confirmStore.Prepare = decode.Prepare, decode.Prepare
 	return &Directory{
-		settings: s, log: log, store: newStore(), confirmStore: newStore(), socket: socket, streams: streams, publish: publish, onHeartbeat: onHeartbeat,
-		election: readerElection{self: s.Listen.Addr(), entry: s.Entry, startedAt: node.Clock()},
-		catalog:  catalog.New(decode),
-		peers:    map[netip.Addr]*peer{},
-		seeds:    s.Seeds,
-		pulls:    make(chan netip.Addr, 1),
-		confirms: make(chan int64, 1),
+		settings: s, log: log, store: store, confirmStore: confirmStore, socket: socket, streams: streams, publish: publish, onHeartbeat: onHeartbeat,
+		election:  readerElection{self: s.Listen.Addr(), entry: s.Entry, startedAt: node.Clock()},
+		catalog:   catalog.New(decode),
+		responses: make(chan struct{}, maxConcurrentResponses),
+		peers:     map[netip.Addr]*peer{},
+		seeds:     s.Seeds,
+		pulls:     make(chan netip.Addr, 1),
+		confirms:  make(chan int64, 1),
 		counters: counters{
 			heartbeatsSent: scope.Counter("beats_sent"), heartbeatsReceived: scope.Counter("beats_received"),
 			badDatagrams: scope.Counter("bad_datagrams"), pulls: scope.Counter("pulls"),
--- a/internal/exchange/partial_test.go
+++ b/internal/exchange/partial_test.go
@@ -29,7 +29,7 @@
 		return catalog.Record{Target: &catalog.Target{ID: item.Key, Host: netip.MustParseAddrPort("127.0.0.2:9000")}}, nil
 	}
 	d, err := New(Settings{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Entry: true, StartID: 1}, decode,
-		func() *configstore.Store { return nil }, log, tally.NoopScope, func(Update) {}, func(netip.Addr) {})
+		func() *configstore.Store { return &configstore.Store{} }, log, tally.NoopScope, func(Update) {}, func(netip.Addr) {})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -27,12 +26,15 @@
 	// maxPullBytes bounds a response: a configuration of 1 MB and the targets of
 	// a fleet of the intended size, with a margin.
 	maxPullBytes = 8 << 20
+	// maxConcurrentResponses bounds the memory for responses that are being encoded. After
+	// a change that exceeds a datagram all peers pull at once.
+	maxConcurrentResponses = 2
 	// requestSize is the size of a request: the revision that the requester has in the
 	// responder's era, or 0 for a snapshot.
 	requestSize = 8
 )
 
-var errPullTooLarge = errors.New("response of the peer exceeds the size limit")
+var errPullTooLarge = fmt.Errorf("response of the peer exceeds %d bytes", maxPullBytes)
 
 // requestPull asks the pull loop to get the missing changes from a peer. If a
 // request is already pending, it is dropped; the peer's next heartbeat triggers
@@ -44,8 +46,34 @@
 	}
 }
 
+// pullFailureLogInterval is the minimum time between two log lines about the same error
+// of pulls.
+const pullFailureLogInterval = 10 * time.Second
+
+// pullFailures limits the log lines about pulls that fail again and again.
+type pullFailures struct {
+	text   string
+	logged int64
+	// repeated counts the failures since the last log line.
+	repeated int
+}
+
+// record reports whether to log an error, and how often it was left out since the last
+// line.
+func (f *pullFailures) record(err error, now int64) (log bool, repeated int) {
+	text := err.Error()
+	if text == f.text && time.Duration(now-f.logged) < pullFailureLogInterval {
+		f.repeated++
+		return false, 0
+	}
+	repeated = f.repeated
+	*f = pullFailures{text: text, logged: now}
+	return true, repeated
+}
+
 // pullLoop runs the requested pulls one at a time.
 func (d *Directory) pullLoop(ctx context.Context) error {
+	var failures pullFailures
 	for {
 		select {
 		case <-ctx.Done():
@@ -54,8 +82,8 @@
 			d.counters.pulls.Inc(1)
 			if err := d.pull(ctx, from); err != nil && ctx.Err() == nil {
 				d.counters.pullsFailed.Inc(1)
-				if d.log.AllowDecision() {
-					d.log.Warn("cannot pull changes from peer", zap.Stringer("peer", from), zap.Error(err))
+				if log, repeated := failures.record(err, node.Clock()); log {
+					d.log.Warn("cannot pull changes from peer", zap.Stringer("peer", from), zap.Error(err), zap.Int("repeated", repeated))
 				}
 			}
 		}
@@ -142,7 +170,13 @@
 		d.counters.badDatagrams.Inc(1)
 		return
 	}
+	select {
+	case d.responses <- struct{}{}:
+	case <-time.After(pullTimeout):
+		return // the peer has given up
+	}
 	response, err := d.compressed(d.changesOrSnapshot(binary.BigEndian.Uint64(request[:])))
+	<-d.responses
 	if err != nil {
 		d.log.Error("cannot encode changes for peer", zap.Error(err))
 		return
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -149,7 +149,7 @@
 func catalogItems(list []*schema.StoreItem) []catalog.Item {
 	items := make([]catalog.Item, 0, len(list))
 	for _, it := range list {
-		items = append(items, catalog.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Deleted: it.GetDeleted()})
+		items = append(items, catalog.Item{Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Deleted: it.GetDeleted(), Refusal: it.GetRefusal()})
 	}
 	return items
 }
@@ -157,7 +157,7 @@
 func schemaItems(items []catalog.Item) []*schema.StoreItem {
 	list := make([]*schema.StoreItem, 0, len(items))
 	for _, it := range items {
-		list = append(list, &schema.StoreItem{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
+		list = append(list, &schema.StoreItem{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted, Refusal: it.Refusal})
 	}
 	return list
 }
--- a/internal/exchange/storeread.go
+++ b/internal/exchange/storeread.go
@@ -26,7 +26,7 @@
 // requiresList reports whether the error of a watch means that the store responded and
 // all its items must be listed.
 func requiresList(err error) bool {
-	return errors.Is(err, configstore.ErrHistoryLost) || errors.Is(err, errNewEra)
+	return configstore.RequiresList(err) || errors.Is(err, errNewEra)
 }
 
 // readLoop reads the store while shouldRead reports that this process must.
--- a/internal/relaynode/process.go
+++ b/internal/relaynode/process.go
@@ -235,9 +235,9 @@
 	if c.Version > 0 {
 		r.Reason += fmt.Sprintf(", version %d", c.Version)
 	}
-	if c.Err != nil {
+	if c.Refusal != "" {
 		p.counters.badStoreItem.Inc(1)
-		r.Outcome, r.Reason = audit.Refused, c.Err.Error()
+		r.Outcome, r.Reason = audit.Refused, c.Refusal
 	}
 	p.audit.Add(r)
 }
