Mark a process as leaving before it tells its peers

A heartbeat that another goroutine sent between the announcement and the mark made the process look alive again, until a probe went unanswered. Found by reading. The detection of a silent host moves to where its packets are taken, so that the decision needs no lock.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -237,8 +237,8 @@
 	m, recipients := d.heartbeat(node.Clock()), d.samplePeers(len(d.peers))
 	d.mu.Unlock()
 	m.Leaving, m.Reader, m.Stopping = true, false, true
-	d.sendAll(m, recipients)
 	d.leaving.Store(true)
+	d.sendAll(m, recipients)
 }
 
 // SetSeeds replaces the seeds.
--- a/internal/exchange/heartbeat.go
+++ b/internal/exchange/heartbeat.go
@@ -232,7 +232,7 @@
 // sendAll sends m to each peer. A datagram that cannot be sent is treated as
 // lost: the next heartbeat repeats its content.
 func (d *Directory) sendAll(m *schema.Exchange, recipients []netip.Addr) {
-	if m == nil || len(recipients) == 0 || d.leaving.Load() {
+	if m == nil || len(recipients) == 0 || d.leaving.Load() && !m.GetLeaving() {
 		return
 	}
 	datagram, err := proto.Marshal(m)
--- a/internal/relay/hostsilence.go
+++ b/internal/relay/hostsilence.go
@@ -67,7 +67,8 @@
 	return s.detected
 }
 
-// takeOverdue removes and returns the packets that the host had to respond to by now.
+// takeOverdue removes and returns the packets that the host had to respond to by now. If
+// there are any, the host is silent.
 func (s *hostSilence) takeOverdue(now int64) []Packet {
 	var packets []Packet
 	for _, u := range s.unanswered {
@@ -77,6 +78,7 @@
 		packets = append(packets, u.packet)
 	}
 	s.unanswered = slices.Delete(s.unanswered, 0, len(packets))
+	s.detected = s.detected || len(packets) > 0
 	return packets
 }
 
@@ -136,9 +138,6 @@
 
 // HostUnresponsive decides on a packet of TakeUnanswered.
 func (a *Agent) HostUnresponsive(p *Packet, now int64) Verdict {
-	a.Admission.mu.Lock()
-	a.Admission.silence.silent(now)
-	a.Admission.mu.Unlock()
 	v := a.forwardPastSilentHost(p, DecodeSearchState(p.Echo), now)
 	if v.Action != ActionForward {
 		return drop(ReasonHostSilent)
