Keep openings away from evacuated data centres

Cause: nothing read op/evacuate/ZONE. Openings reached the hosts of an evacuated data centre 15.7 s after the acknowledgement; the bound is 5 s.

Change: an evacuation is an item of the catalog, so that it reaches every process like a target: by list, watch, push, pull and after a restore. Entries and agents choose no member of an evacuated data centre for an opening, the agent of such a host forwards what reaches it or waits in its queue, and open flows stay. An evacuation that a restored store lost stays in force until it is requested again, 30 s at most. A later attempt of an opening without a target is dropped instead of refused: a host may have accepted the first one. Routes also carry priority, target latency, timeout and whether requests may be repeated.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -76,6 +76,19 @@
 	Name        string
 	Destination netip.AddrPort
 	Services    []WeightedService
+	RequestPolicy
+}
+
+// RequestPolicy is what a configuration says about the requests of a route. The zero
+// value says nothing: no priority over others and no limits.
+type RequestPolicy struct {
+	// Priority orders requests that compete for room; 0 is the most urgent.
+	Priority int
+	// TargetLatency is the time within which clients want the response, Timeout the time
+	// after which they no longer wait for it; 0 means unknown.
+	TargetLatency, Timeout time.Duration
+	// Idempotent is set if clients may repeat a request that may have been run.
+	Idempotent bool
 }
 
 // WeightedService is a service of a route and the weight by which it receives new
@@ -92,6 +105,10 @@
 	HealthPath string
 	// MaxConnections is the maximum number of flows per host.
 	MaxConnections int
+	// SlowStart is how long a host is cold after its start. ColdRate is the number of
+	// requests per second that a cold host can bear; 0 means no limit.
+	SlowStart time.Duration
+	ColdRate  float64
 }
 
 // Configuration is a complete configuration published by the operator.
@@ -123,11 +140,14 @@
 	Sequence uint64
 }
 
-// Record is the decoded form of an item: a configuration, a target, or neither
-// if the catalog does not use the key.
+// Record is the decoded form of an item: a configuration, a target, an evacuation, or
+// none of them if the catalog does not use the key.
 type Record struct {
 	Configuration *Configuration
 	Target        *Target
+	// Evacuated is the data centre whose targets get no openings while the item
+	// exists; empty if the item is no evacuation.
+	Evacuated string
 	// Value is a shorter encoding of the record than the item's value; nil if there is
 	// none.
 	Value []byte
@@ -139,8 +159,8 @@
 
 // Change describes a change of the catalog, for logging.
 type Change struct {
-	// Subject is the id of a target or "configuration"; for a refused item it is
-	// the item's key.
+	// Subject is the id of a target, "configuration", or "evacuation of" a data centre;
+	// for a refused item it is the item's key.
 	Subject string
 	// Kind is the kind of change: "added", "draining", "restarted", "changed",
 	// "removed" or "refused"; "kept" and "hidden" if an item that the store lost stays
@@ -296,7 +316,7 @@
 
 // ChangesWithTime reports whether the catalog retains targets that are not in the
 // store. If it does, its views change as time passes.
-func (c *Catalog) ChangesWithTime() bool { return len(c.retired) > 0 || c.hasLostTarget() }
+func (c *Catalog) ChangesWithTime() bool { return len(c.retired) > 0 || c.hasExpiringItem() }
 
 // Since returns the changes after base, or false if some of them are no longer
 // available.
@@ -385,6 +405,13 @@
 		c.configuration = after
 		changes = append(changes, Change{Subject: after.subject(), Kind: "changed", Revision: revision, Version: after.version()})
 	}
+	if evacuated, was := after.evacuated(), before.evacuated(); evacuated != was {
+		change := Change{Subject: evacuationSubject(evacuated), Kind: "added", Revision: revision}
+		if evacuated == "" {
+			change.Subject, change.Kind = evacuationSubject(was), "removed"
+		}
+		changes = append(changes, change)
+	}
 	previous, target := before.target(), after.target()
 	switch {
 	case target == nil && previous == nil:
@@ -416,6 +443,17 @@
 	return s.record.Target
 }
 
+// evacuated returns the data centre whose evacuation the item requests, or an empty
+// string; s may be nil.
+func (s *storedItem) evacuated() string {
+	if s == nil {
+		return ""
+	}
+	return s.record.Evacuated
+}
+
+func evacuationSubject(dataCentre string) string { return "evacuation of " + dataCentre }
+
 // version returns the version of the configuration that the item defines, or 0.
 func (s *storedItem) version() uint64 {
 	if s.record.Configuration == nil {
@@ -431,6 +469,8 @@
 		return "configuration"
 	case s.record.Target != nil:
 		return s.record.Target.ID
+	case s.record.Evacuated != "":
+		return evacuationSubject(s.record.Evacuated)
 	default:
 		return s.item.Key
 	}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -17,7 +17,7 @@
 
 var errBadValue = errors.New("bad value")
 
-// decode decodes test values: "config N", "ADDRESS SERVICE STATE STARTED", optionally
+// decode decodes items with a key "evacuate/DATA-CENTRE" and test values: "config N", "ADDRESS SERVICE STATE STARTED", optionally
 // followed by a sequence, or "bad".
 func decode(it Item) (Record, error) {
 	var address, service, state string
@@ -26,6 +26,8 @@
 	switch value := string(it.Value); {
 	case value == "bad":
 		return Record{}, errBadValue
+	case strings.HasPrefix(it.Key, "evacuate/"):
+		return Record{Evacuated: strings.TrimPrefix(it.Key, "evacuate/")}, nil
 	case strings.HasPrefix(value, "config "):
 		var version uint64
 		if _, err := fmt.Sscanf(value, "config %d", &version); err != nil {
--- a/internal/catalog/lost.go
+++ b/internal/catalog/lost.go
@@ -13,7 +13,9 @@
 	// being registered again. The store's documentation allows about two seconds.
 	lostTargetGrace = 2 * time.Second
 	// lostRetention is how long an older item of the store about a target is
-	// disregarded: by then its host has registered again or its entry has expired.
+	// disregarded: by then its host has registered again or its entry has expired. It is
+	// also how long an evacuation that the store lost stays in force without being
+	// requested again, since it may have ended while this process was cut off.
 	lostRetention = 30 * time.Second
 	// removedRetention is how long a drained target that left the store is remembered.
 	// It exceeds the age of a copy from which a store comes back.
@@ -201,21 +203,26 @@
 	}
 }
 
-func (c *Catalog) hasLostTarget() bool {
+// expires reports whether the retention of a lost item ends with time. A configuration
+// stays in force until the operator writes another one.
+func (l *lostItem) expires() bool { return l.record.Target != nil || l.record.Evacuated != "" }
+
+func (c *Catalog) hasExpiringItem() bool {
 	for _, lost := range c.lost {
-		if lost.record.Target != nil {
+		if lost.expires() {
 			return true
 		}
 	}
 	return false
 }
 
-// Expire ends the retention of lost targets. A target that was not registered again
-// in time is retired, and an item of the store that was disregarded comes into force.
+// Expire ends the retention of lost targets and evacuations. A target that was not
+// registered again in time is retired, and an item of the store that was disregarded
+// comes into force.
 func (c *Catalog) Expire(now int64) []Change {
 	var changes []Change
 	for key, lost := range c.lost {
-		if lost.record.Target == nil || now < c.expiry(lost) {
+		if !lost.expires() || now < c.expiry(lost) {
 			continue
 		}
 		before := c.current(key)
@@ -225,9 +232,9 @@
 	return changes
 }
 
-// expiry returns the time at which the retention of a lost target ends.
+// expiry returns the time at which the retention of a lost item ends.
 func (c *Catalog) expiry(lost *lostItem) int64 {
-	if lost.missing {
+	if lost.missing && lost.record.Target != nil {
 		return c.eraSince + int64(lostTargetGrace)
 	}
 	return c.eraSince + int64(lostRetention)
@@ -275,7 +282,7 @@
 		}
 		stored := c.items[item.Key]
 		candidate := &lostItem{storedItem{item, *prepared.Decoded}, stored == nil}
-		if !candidate.adds(c.lost[item.Key], stored) || candidate.record.Target != nil && now >= c.expiry(candidate) {
+		if !candidate.adds(c.lost[item.Key], stored) || candidate.expires() && now >= c.expiry(candidate) {
 			continue
 		}
 		before := c.current(item.Key)
@@ -294,7 +301,7 @@
 // removal is newer than the last value of the same target.
 func (l *lostItem) adds(known *lostItem, stored *storedItem) bool {
 	switch {
-	case l.record.Configuration == nil && l.record.Target == nil:
+	case l.record.Configuration == nil && l.record.Target == nil && l.record.Evacuated == "":
 		return false
 	case known != nil && (known.item.Deleted || !l.item.Deleted):
 		return l.supersedes(&known.storedItem)
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -41,6 +42,11 @@
 	*bundle.Target
 	Host  netip.AddrPort
 	State State
+	// Evacuated is set while the operator wants no openings in the member's data centre.
+	Evacuated bool
+	// SlowStartRemaining and HostStartedAtMillis are those of the registration.
+	SlowStartRemaining  time.Duration
+	HostStartedAtMillis int64
 }
 
 // Service is a service in a view.
@@ -51,6 +57,8 @@
 	Hash uint8
 	// configured is set if the configuration names the service.
 	configured bool
+	// Settings are those of the configuration.
+	Settings ServiceSettings
 	// members holds the service's members in search order, memberIDs their ids.
 	members   []*Member
 	memberIDs []uint32
@@ -58,7 +66,8 @@
 
 // RouteView is a route in a view; Services is never empty.
 type RouteView struct {
-	Name      string
+	Name string
+	RequestPolicy
 	addresses []*bundle.Address
 	weights   []int
 	Services  []*Service
@@ -82,6 +91,8 @@
 	// members holds the members by their ids. An id has several members only if all
 	// but one belong to services that the configuration does not name.
 	members map[uint32][]*Member
+	// evacuated holds the data centres whose targets get no openings.
+	evacuated map[string]bool
 }
 
 // hashKey is the key of the hash that orders the candidates. It is the same in all
@@ -98,6 +109,8 @@
 		routes:   map[netip.AddrPort]*RouteView{},
 		services: map[string]*Service{},
 		members:  map[uint32][]*Member{},
+
+		evacuated: c.evacuated(),
 	}
 	if c.configuration != nil {
 		v.addConfiguration(c.configuration.record.Configuration)
@@ -272,6 +285,10 @@
 		},
 		Host:  t.Host,
 		State: state,
+
+		Evacuated:           v.evacuated[t.DataCentre],
+		SlowStartRemaining:  t.SlowStartRemaining,
+		HostStartedAtMillis: t.HostStartedAtMillis,
 	}
 	v.members[id] = append(v.members[id], m)
 	s.Targets = append(s.Targets, m.Target)
@@ -281,10 +298,11 @@
 	v.ConfigurationKnown = true
 	v.Version = c.Version
 	for _, settings := range c.Services {
-		v.service(settings.Name).configured = true
+		s := v.service(settings.Name)
+		s.configured, s.Settings = true, settings
 	}
 	for _, r := range c.Routes {
-		route := &RouteView{Name: r.Name}
+		route := &RouteView{Name: r.Name, RequestPolicy: r.RequestPolicy}
 		for _, weighted := range r.Services {
 			s := v.service(weighted.Service)
 			s.configured = true
@@ -298,6 +316,28 @@
 	}
 }
 
+// evacuated returns the data centres for which an evacuation is in force.
+func (c *Catalog) evacuated() map[string]bool {
+	result := map[string]bool{}
+	for key := range c.items {
+		if dataCentre := c.current(key).evacuated(); dataCentre != "" {
+			result[dataCentre] = true
+		}
+	}
+	for key := range c.lost {
+		if dataCentre := c.current(key).evacuated(); dataCentre != "" {
+			result[dataCentre] = true
+		}
+	}
+	return result
+}
+
+// Evacuated reports whether the targets of a data centre get no openings.
+func (v *View) Evacuated(dataCentre string) bool { return v.evacuated[dataCentre] }
+
+// EvacuatedDataCentres returns the evacuated data centres in order.
+func (v *View) EvacuatedDataCentres() []string { return slices.Sorted(maps.Keys(v.evacuated)) }
+
 // Route returns the route of a destination, or nil if there is none.
 func (v *View) Route(destination netip.AddrPort) *RouteView { return v.routes[destination] }
 
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -150,7 +150,7 @@
 
 // acceptsOpenings reports whether the agent's own host may get new flows. A host
 // that is not in the view may get them too, because the sender knows a target at
-// its address.
+// its address, but not when its data centre is evacuated.
 func (a *Agent) acceptsOpenings(v *catalog.View, now int64) bool {
 	if now < a.HostDownUntil.Load() {
 		return false
@@ -158,8 +158,21 @@
 	if v == nil {
 		return true
 	}
+	if v.Evacuated(a.DataCentre) {
+		return false
+	}
 	m := v.Member(a.ID, a.Service)
-	return m == nil || m.State == catalog.Ready || m.State == catalog.Lapsed
+	return m == nil || !m.Evacuated && (m.State == catalog.Ready || m.State == catalog.Lapsed)
+}
+
+// FromQueue decides on an opening that waited for a free slot. The host may have begun
+// to drain in the meantime, or its data centre may have been evacuated.
+func (a *Agent) FromQueue(p *Packet, waited time.Duration, now int64) Verdict {
+	state := DecodeSearchState(p.Echo)
+	if !a.acceptsOpenings(a.View.Load(), now) {
+		return a.redirect(p, state, now)
+	}
+	return Verdict{Action: ActionDeliver, Reason: ReasonSlotFree, State: state, Waited: waited}
 }
 
 // countHop counts a hop of a packet. Of a full search it counts one of fullSearchHops,
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -191,11 +191,15 @@
 }
 
 // eligible reports whether the state of a member allows a packet. Openings go to
-// ready members, and to lapsed ones only when lapsed is set.
+// ready members, and to lapsed ones only when lapsed is set, and to none in an
+// evacuated data centre.
 func eligible(m *catalog.Member, opening, lapsed bool) bool {
 	if !opening {
 		return true
 	}
+	if m.Evacuated {
+		return false
+	}
 	return m.State == catalog.Ready || lapsed && m.State == catalog.Lapsed
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -34,7 +34,9 @@
 		m = e.selectCandidate(candidates, p, &verdict, now)
 	}
 	if m == nil {
-		if p.IsOpening() && e.viewFresh(now) {
+		// A host may have accepted an earlier attempt before its data centre was
+		// evacuated or it began to drain.
+		if p.IsOpening() && p.Attempt() == 0 && e.viewFresh(now) {
 			return e.reset(p, ReasonNoTarget)
 		}
 		return drop(ReasonNoTarget)
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -97,6 +97,8 @@
 	enqueue func(p *relay.Packet, now int64) (dropped []byte)
 	// decide returns the role's verdict on a packet from this socket.
 	decide func(p *relay.Packet, now int64) relay.Verdict
+	// decideQueued returns the verdict on an opening that waited for a free slot.
+	decideQueued func(p *relay.Packet, waited time.Duration, now int64) relay.Verdict
 	// decideRefused returns the verdict on a packet whose delivery to the host
 	// failed with ECONNREFUSED.
 	decideRefused func(p *relay.Packet, now int64) relay.Verdict
@@ -196,9 +198,7 @@
 		if err := w.adapter.Packets.Parse(datagram, &w.packet); err != nil {
 			continue // it was parsed before it was queued
 		}
-		w.execute(&w.packet, relay.Verdict{
-			Action: relay.ActionDeliver, Reason: relay.ReasonSlotFree, State: relay.DecodeSearchState(w.packet.Echo), Waited: waited,
-		}, now)
+		w.execute(&w.packet, w.decideQueued(&w.packet, waited, now), now)
 	}
 }
 
@@ -411,11 +411,11 @@
 func (a *Agent) Run(ctx context.Context) error {
 	peers := &worker{
 		process: a.process, in: a.packetSocket, out: wire.NewWriteQueue(a.packetSocket, batchSize), hostConn: a.hostConn,
-		admission: a.decisions.Admission, enqueue: a.decisions.Enqueue, decide: a.decisions.FromPeer, decideRefused: a.decisions.HostRefused,
+		admission: a.decisions.Admission, enqueue: a.decisions.Enqueue, decideQueued: a.decisions.FromQueue, decide: a.decisions.FromPeer, decideRefused: a.decisions.HostRefused,
 	}
 	host := &worker{
 		process: a.process, in: a.hostSocket, out: wire.NewWriteQueue(a.packetSocket, batchSize), hostConn: a.hostConn,
-		admission: a.decisions.Admission, enqueue: a.decisions.Enqueue, decide: a.decisions.FromHost, decideRefused: a.decisions.HostRefused, fromHost: true,
+		admission: a.decisions.Admission, enqueue: a.decisions.Enqueue, decideQueued: a.decisions.FromQueue, decide: a.decisions.FromHost, decideRefused: a.decisions.HostRefused, fromHost: true,
 	}
 	defer func() { _ = a.hostConn.Close() }() // a datagram socket has no pending data to lose
 	bypass := peers.copy()
