Limit the openings of cold hosts

Cause: the configuration's rate for cold hosts was not read. The hash gives a host its full share from its first second.

Change: the agent counts the openings of its host, which only it sees all, and passes on or queues what exceeds ColdPerS x ColdExcess + ColdSlack in a sliding second while the host is cold.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/heathergw/heathergw/internal/catalog"
 	"github.com/heathergw/heathergw/internal/outlier"
 	"github.com/heathergw/heathergw/internal/packet"
 )
@@ -128,6 +129,7 @@
 	health outlier.Detector
 	// silence detects that the host sends nothing.
 	silence   hostSilence
+	cold      coldStart
 	queue     []queuedOpening // by requestStart, oldest first
 	lastSweep int64
 }
@@ -145,6 +147,14 @@
 	a.mu.Unlock()
 }
 
+// SetColdStart takes over what the view says about the slow start of the host, which is
+// nil while it is not registered, and of its service.
+func (a *Admission) SetColdStart(m *catalog.Member, s *catalog.Service, limits ColdLimits, now int64) {
+	a.mu.Lock()
+	a.cold.update(m, s, limits, now)
+	a.mu.Unlock()
+}
+
 // Busy returns the number of requests in progress and of openings whose request
 // has not arrived yet.
 func (a *Admission) Busy() int {
@@ -177,7 +187,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sweep(now)
-	return a.slots > 0 && a.busy >= a.busyLimit() && a.flows[k] == nil
+	return a.flows[k] == nil && a.full(now)
+}
+
+// full reports whether the host may get no further opening now.
+func (a *Admission) full(now int64) bool {
+	return a.slots > 0 && a.busy >= a.busyLimit() || a.cold.full(now)
 }
 
 // RecordDelivery records a packet that is delivered to the host.
@@ -205,6 +220,7 @@
 		}
 		f = &flowState{halfOpen: true}
 		a.flows[p.Key] = f
+		a.cold.recordOpening(now)
 	}
 	f.lastPacket = now
 	if p.IsOpening() || f.newData(p) {
@@ -375,7 +391,7 @@
 	defer a.mu.Unlock()
 	a.sweep(now)
 	a.queue = slices.DeleteFunc(a.queue, func(w queuedOpening) bool { return now-w.firstSent >= int64(openingTimeout) })
-	if len(a.queue) == 0 || a.slots > 0 && a.busy >= a.busyLimit() {
+	if len(a.queue) == 0 || a.full(now) {
 		return nil, 0
 	}
 	last := len(a.queue) - 1
--- /dev/null
+++ b/internal/relay/coldstart.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/heathergw/heathergw/internal/catalog"
+)
+
+// coldWindow is the span in which the openings of a cold host are counted: the second
+// for which the configuration gives a rate, and a margin for the time between the
+// agent's clock reading and the arrival at the host.
+const coldWindow = time.Second + 50*time.Millisecond
+
+// ColdLimits bound the openings of cold hosts: at most rate*Excess + Slack in any second,
+// where the rate is that of the service's configuration. An Excess of 0 counts as 1.
+type ColdLimits struct{ Excess, Slack float64 }
+
+// coldStart limits the openings of a host that has just started, over everything that
+// reaches the host. It answers this load: hosts of a data centre return together and are
+// slow, while the hash gives them their full share at once. Only the agent sees all
+// openings of its host, so it counts them.
+type coldStart struct {
+	// until is the time at which the host is no longer cold.
+	until int64
+	// duration is how long a host of the service is cold after its start.
+	duration time.Duration
+	// limit is the number of openings in a window; 0 means no limit.
+	limit int
+	// delivered holds the times of the latest openings, at most limit of them.
+	delivered []int64
+	// hostStartedAtMillis is the start of the host for which until was set.
+	hostStartedAtMillis int64
+}
+
+// update takes over what the view says about the host and its service. m is nil while the
+// host is not registered.
+func (c *coldStart) update(m *catalog.Member, s *catalog.Service, limits ColdLimits, now int64) {
+	c.limit, c.duration = 0, 0
+	if s == nil || s.Settings.ColdRate <= 0 {
+		return
+	}
+	excess := limits.Excess
+	if excess == 0 {
+		excess = 1
+	}
+	c.limit = max(int(s.Settings.ColdRate*excess+limits.Slack), 1)
+	c.duration = s.Settings.SlowStart
+	if m != nil && m.HostStartedAtMillis != c.hostStartedAtMillis {
+		// The time that the registration took is not known, so the host may be cold for
+		// less than this.
+		c.hostStartedAtMillis, c.until = m.HostStartedAtMillis, now+int64(m.SlowStartRemaining)
+	}
+}
+
+// hostDown records that the host is not running; it is cold when it is back.
+func (c *coldStart) hostDown(now int64) { c.until = max(c.until, now+int64(c.duration)) }
+
+// full reports whether the host may get no further opening now.
+func (c *coldStart) full(now int64) bool {
+	if c.limit == 0 || now >= c.until || len(c.delivered) < c.limit {
+		return false
+	}
+	return now-c.delivered[len(c.delivered)-c.limit] < int64(coldWindow)
+}
+
+// recordOpening records an opening that the host gets.
+func (c *coldStart) recordOpening(now int64) {
+	if c.limit == 0 {
+		c.delivered = nil
+		return
+	}
+	c.delivered = append(c.delivered, now)
+	if excess := len(c.delivered) - c.limit; excess > 0 {
+		c.delivered = append(c.delivered[:0], c.delivered[excess:]...)
+	}
+}
--- a/internal/relay/hosthealth.go
+++ b/internal/relay/hosthealth.go
@@ -26,6 +26,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.silence.clear()
+	a.cold.hostDown(now)
 	if a.pendingRequests > 0 {
 		a.health.Crashed(now)
 	}
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -393,6 +393,9 @@
 		if m := v.Member(a.decisions.ID, a.decisions.Service); m != nil {
 			a.decisions.Admission.SetSlots(m.Slots)
 		}
+		r := p.settings.GetRelay()
+		limits := relay.ColdLimits{Excess: r.GetColdExcess(), Slack: r.GetColdSlack()}
+		a.decisions.Admission.SetColdStart(v.Member(a.decisions.ID, a.decisions.Service), v.Service(a.decisions.Service), limits, node.Clock())
 	}
 	if a.hostSocket, err = wire.Listen(o.Settings.GetAgent().GetHostListen()); err != nil {
 		return nil, errors.Join(fmt.Errorf("agent.host_listen: %w", err), p.close())
--- a/internal/settings/check_relay.go
+++ b/internal/settings/check_relay.go
@@ -28,6 +28,8 @@
 		c.remoteAddrPort(fmt.Sprintf("relay.seed_hosts[%d]", i), seed)
 	}
 	c.stopDuration("relay.stop_grace", r.GetStopGrace())
+	c.coldLimit("relay.cold_excess", r.GetColdExcess())
+	c.coldLimit("relay.cold_slack", r.GetColdSlack())
 	switch {
 	case s.GetEntry() != nil:
 	case s.GetAgent() != nil:
@@ -40,3 +42,12 @@
 		c.Errorf("", `the role is missing: give "entry" or "agent"`)
 	}
 }
+
+// maxColdLimit exceeds the openings that a host can get in a second.
+const maxColdLimit = 1e6
+
+func (c *checker) coldLimit(field string, value float64) {
+	if math.IsNaN(value) || value < 0 || value > maxColdLimit {
+		c.Errorf(field, "%g is not from 0 to %g", value, maxColdLimit)
+	}
+}
