--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -42,6 +42,8 @@
 	AgeMillis int64 `json:"age_ms"`
 	// Source is the origin of the latest change: "store", or the address of a peer.
 	Source string `json:"source"`
+	// Evacuated lists the data centres whose targets get no openings.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // TargetStatus is the state of a target as seen by the process.
--- a/internal/relaynode/process.go
+++ b/internal/relaynode/process.go
@@ -203,6 +203,7 @@
 		p.counters.revision.Update(float64(u.View.At.Revision))
 		p.counters.era.Update(float64(u.View.At.Era))
 		p.counters.version.Update(float64(u.View.Version))
+		p.counters.evacuated.Update(float64(len(u.View.EvacuatedDataCentres())))
 		p.recordSharedAddresses(u.View)
 		if first {
 			p.log.Info("first view", zap.Uint64("era", u.View.At.Era), zap.Uint64("revision", u.View.At.Revision), zap.String("source", u.Source))
--- a/internal/relaynode/status.go
+++ b/internal/relaynode/status.go
@@ -62,12 +62,16 @@
 			Era: v.At.Era, Revision: v.At.Revision, ConfigurationVersion: v.Version,
 			AgeMillis: (now - p.core.AsOf.Load()) / int64(time.Millisecond),
 		}
+		s.Store.Evacuated = v.EvacuatedDataCentres()
 		if source := p.viewSource.Load(); source != nil {
 			s.Store.Source = *source
 		}
 		v.Members(func(m *catalog.Member) {
 			t := node.NewTargetStatus(m.Target)
 			t.State = m.State.String()
+			if m.Evacuated && m.State == catalog.Ready {
+				t.State = "evacuated"
+			}
 			if p.core.Reach.Silent(m.ID, now) {
 				t.State = "silent"
 			}
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -29,6 +29,8 @@
 	// era and revision are the store's position in force, version is that of the
 	// configuration.
 	era, revision, version tally.Gauge
+	// evacuated is the number of data centres whose targets get no openings.
+	evacuated tally.Gauge
 	// sharedAddresses is the number of addresses that several targets claim.
 	sharedAddresses tally.Gauge
 	// responseTime is the time from the delivery of a request to the first packet
@@ -65,6 +67,7 @@
 		era:          scope.Gauge("store_era"),
 		version:      scope.Gauge("configuration_version"),
 
+		evacuated:       scope.Gauge("evacuated_data_centres"),
 		sharedAddresses: scope.Gauge("shared_addresses"),
 
 		verdicts:     map[relay.Reason]tally.Counter{},
