Split the admission of a host by responsibility

Cause: admission.go held the flows of the host, its remaining capacity and the waiting openings. Each of them is about to change.

Change: flows.go, hostload.go and openings.go hold them; Admission remains the facade with the lock. The fields keep their names through embedding, so that hosthealth.go and the tests are unchanged. No change of behaviour.

--- /dev/null
+++ b/internal/relay/flows.go
@@ -0,0 +1,124 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/heathergw/heathergw/internal/packet"
+)
+
+const (
+	// openingDataTimeout is how long an opening counts as a request while no
+	// data has arrived. Data follows one round trip after the host's answer, at
+	// most 20 ms between data centres; a client that completed the opening at
+	// another host sends none.
+	openingDataTimeout = 100 * time.Millisecond
+	// requestIdleTimeout is how long a request counts without a packet in either
+	// direction; the longest service time of a request is below half a second.
+	requestIdleTimeout = 5 * time.Second
+	// flowIdleTimeout is how long a flow without packets is tracked: the longest
+	// lifetime of a flow.
+	flowIdleTimeout = 60 * time.Second
+	// sweepInterval is the minimum time between scans for idle flows.
+	sweepInterval = 50 * time.Millisecond
+	// maxFlows bounds the number of tracked flows: the connections of a host.
+	maxFlows = 2048
+)
+
+// flowState is the state that an agent tracks for a flow of its host. It is
+// used for load control only; the host decides whether the flow exists.
+type flowState struct {
+	// busy is set from the opening or from the client's first data until the
+	// host's first data in response.
+	busy bool
+	// established is set once data of the client has been delivered, or when
+	// the flow is older than this process.
+	established bool
+	// seenFromHost is set once the host has sent a packet of the flow.
+	seenFromHost bool
+	// halfOpen is set until the client has acknowledged the host's SYN-ACK.
+	// answeredOpening is set when the host sent one, and hostInitialSequence
+	// is its sequence number.
+	halfOpen, answeredOpening bool
+	hostInitialSequence       uint32
+	// hostNext is the sequence number that follows all data seen from the host. It
+	// is valid once answeredOpening is set.
+	hostNext uint32
+	// answeredUpTo is the client's sequence number up to which the host has
+	// responded: data before it is a retransmission. It is valid once
+	// answeredData is set.
+	answeredUpTo uint32
+	answeredData bool
+	// closedByHost is set when the host has closed the flow.
+	closedByHost bool
+	lastPacket   int64
+	// busySince is when the flow became busy, requestAt when the client's data
+	// arrived. requestPending is set from requestAt until the response;
+	// slotWasFree is set when a slot was free at requestAt.
+	busySince, requestAt        int64
+	requestPending, slotWasFree bool
+	// overdue is set once health counted the pending request as slow.
+	overdue bool
+}
+
+// flowTable holds the flows that the agent knows of its host.
+type flowTable struct {
+	flows     map[packet.Key]*flowState
+	lastSweep int64
+}
+
+// newData reports whether the packet has data that the host has not responded
+// to.
+func (f *flowState) newData(p *Packet) bool {
+	end := p.Sequence + uint32(p.Length)
+	return p.Length > 0 && !f.closedByHost && (!f.answeredData || int32(end-f.answeredUpTo) > 0)
+}
+
+// matches reports whether a packet may belong to the flow. A client completes its
+// opening at one host; its other attempts leave half-open flows at other hosts, which
+// no packet acknowledges.
+func (f *flowState) matches(p *Packet) bool {
+	if !f.halfOpen || !f.answeredOpening || !p.Flags.Has(FlagACK) || p.Flags.Has(FlagRST) {
+		return true
+	}
+	if p.Acknowledgment != f.hostInitialSequence+1 {
+		return false
+	}
+	f.halfOpen = false
+	return true
+}
+
+// maxSequence returns the later of two sequence numbers.
+func maxSequence(x, y uint32) uint32 {
+	if int32(y-x) > 0 {
+		return y
+	}
+	return x
+}
+
+func (a *Admission) forget(k packet.Key, f *flowState) {
+	if f != nil {
+		a.setBusy(f, false)
+		delete(a.flows, k)
+	}
+}
+
+// sweep expires flows and requests that ended without a closing packet.
+func (a *Admission) sweep(now int64) {
+	if now-a.lastSweep < int64(sweepInterval) {
+		return
+	}
+	a.lastSweep = now
+	slowAfter := a.health.SlowAfter()
+	for k, f := range a.flows {
+		idle := time.Duration(now - f.lastPacket)
+		a.countOverdue(f, slowAfter, now)
+		switch {
+		case idle > flowIdleTimeout, !f.established && idle > openingTimeout:
+			a.forget(k, f)
+		case !f.established && idle > openingDataTimeout:
+			a.setBusy(f, false)
+		case idle > requestIdleTimeout:
+			a.setBusy(f, false)
+		}
+	}
+}
