Know when a host is cold without a rate for cold hosts

Cause: the time of the slow start was read only where the configuration gives a rate for cold hosts, so outlier detection could not tell a cold host from a slow one.

Change: the slow start of the service and the registration are read always. A host that refused a datagram is also cold for 2 s after its next packet, because hosts were measured 1.6 times slower that long. Openings are limited only where the configuration gives a rate, as before; a rate that is added while a host is cold counts from the start of that time instead of from its own arrival.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -271,6 +271,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.silence.clear()
+	a.cold.hostSent(now)
 	f := a.flows[k]
 	if f == nil {
 		if p.Flags&(FlagReturned|FlagRST|FlagSYN) != 0 || len(a.flows) >= maxFlows {
--- a/internal/relay/coldstart.go
+++ b/internal/relay/coldstart.go
@@ -11,6 +11,10 @@
 // agent's clock reading and the arrival at the host.
 const coldWindow = time.Second + 50*time.Millisecond
 
+// recoveryTime is how long a host that was down is cold after its first packet: hosts
+// were 1.6 times slower for 2 s after their start.
+const recoveryTime = 2 * time.Second
+
 // ColdLimits bound the openings of cold hosts: at most rate*Excess + Slack in any second,
 // where the rate is that of the service's configuration. An Excess of 0 counts as 1.
 type ColdLimits struct{ Excess, Slack float64 }
@@ -20,8 +24,13 @@
 // slow, while the hash gives them their full share at once. Only the agent sees all
 // openings of its host, so it counts them.
 type coldStart struct {
-	// until is the time at which the host is no longer cold.
+	// until is the time at which the host is no longer cold, known whether or not its
+	// openings are limited.
 	until int64
+	// down is set from a refused datagram to the next packet of the host. recoveredAt is
+	// recoveryTime after that packet; openings are not limited up to it.
+	down        bool
+	recoveredAt int64
 	// duration is how long a host of the service is cold after its start.
 	duration time.Duration
 	// limit is the number of openings in a window; 0 means no limit.
@@ -36,15 +45,16 @@
 // host is not registered.
 func (c *coldStart) update(m *catalog.Member, s *catalog.Service, limits ColdLimits, now int64) {
 	c.limit, c.duration = 0, 0
-	if s == nil || s.Settings.ColdRate <= 0 {
-		return
+	if s != nil {
+		c.duration = s.Settings.SlowStart
 	}
-	excess := limits.Excess
-	if excess == 0 {
-		excess = 1
+	if s != nil && s.Settings.ColdRate > 0 {
+		excess := limits.Excess
+		if excess == 0 {
+			excess = 1
+		}
+		c.limit = max(int(s.Settings.ColdRate*excess+limits.Slack), 1)
 	}
-	c.limit = max(int(s.Settings.ColdRate*excess+limits.Slack), 1)
-	c.duration = s.Settings.SlowStart
 	if m != nil && m.HostStartedAtMillis != c.hostStartedAtMillis {
 		// The time that the registration took is not known, so the host may be cold for
 		// less than this.
@@ -53,7 +63,19 @@
 }
 
 // hostDown records that the host is not running; it is cold when it is back.
-func (c *coldStart) hostDown(now int64) { c.until = max(c.until, now+int64(c.duration)) }
+func (c *coldStart) hostDown(now int64) {
+	c.until, c.down = max(c.until, now+int64(c.duration)), true
+}
+
+// hostSent records a packet of the host.
+func (c *coldStart) hostSent(now int64) {
+	if c.down {
+		c.down, c.recoveredAt = false, now+int64(recoveryTime)
+	}
+}
+
+// coldAt reports whether the host was cold at a time of the recent past.
+func (c *coldStart) coldAt(at int64) bool { return c.down || at < max(c.until, c.recoveredAt) }
 
 // full reports whether the host may get no further opening now.
 func (c *coldStart) full(now int64) bool {
