Detect slow hosts by a sum of bounded log ratios

Flows that their client ended counted as failures of the host.

Change: each request adds the log ratio to the usual time of its destination, bounded at 4 times, less 0.65; the host is ejected above 3.2, which five slow requests reach at the earliest (four before). Requests that began while the host was cold are neither slow nor learned. Two slow requests of a trial eject again instead of one. A host that ends a request after its client's FIN or past the time-out of the route did not fail. A request is overdue after 4 times the usual time, 2.5 times before.

--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -2,29 +2,42 @@
 // host should get new flows: a host that is slow against its own past, that breaks
 // requests off or that crashes is ejected for a while and returns by few openings.
 // It answers this load: some hosts of a service are slow, fail part of their
-// requests or go down and up, while others have free slots. Each agent judges its
+// requests or go down and up, while others have free slots. Slowness is the sum of
+// bounded log ratios of the service times to the usual one (CUSUM), because a few
+// requests of a healthy host cost several times the mean. Each agent judges its
 // own host only, and an opening that no candidate wants stays at the last one, so a
 // service is never emptied and a load that slows all hosts costs a few hops at most.
 //
 // The package opens no sockets, starts no goroutines and reads no clock.
 package outlier
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// slowFactor is how many times the usual service time a request takes to count
-	// as slow. A host that has just started is less than twice as slow.
+	// slowFactor is how many times the usual service time a request takes to count as
+	// slow: it is not learned, and it counts against a host on trial.
 	slowFactor = 2.5
-	// slowStreak is the number of slow requests in a row that ejects a host.
-	slowStreak = 4
+	// maxRatio bounds the ratio to the usual service time at which a request enters the
+	// sum, so that the three in a hundred requests that cost seven times the mean cannot
+	// eject a host by their size.
+	maxRatio = 4
+	// ratioDrift is subtracted from each log ratio. It is between the mean log ratio of
+	// a healthy host, 0, and that of a host that is five times slower, 1.6; log 1.6 of a
+	// cold host is below it. With 0.5 a spread of 0.5 ejects healthy hosts more often,
+	// with 0.8 one in fifty hosts that are five times slower is not ejected within 8
+	// requests.
+	ratioDrift = 0.65
+	// maxSum is the sum above which a host is ejected: that of five requests at maxRatio
+	// in a row, or of more that are less slow. With four, 2 to 4 in 100,000 requests of a
+	// healthy host ejected it; with six, one in forty hosts that are five times slower is
+	// not ejected within 8 requests.
+	maxSum = 3.2
 	// minSlowTime is the least service time that counts as slow, so that hosts with
 	// short requests are not ejected for scheduling delays.
 	minSlowTime = 40 * time.Millisecond
-	// minSamples is the number of requests before slowness can be judged.
-	minSamples = 16
-	// usualWeight is the divisor by which a request that is not slow enters the
-	// average service time.
-	usualWeight = 16
 	// relearnAfter is how long a host may stay slow until its service time counts as
 	// usual: its work has become longer. All hosts of a service would otherwise pass
 	// openings on for good.
@@ -43,6 +56,10 @@
 	// trialRequests of them were answered in the usual time.
 	trialInterval = 100 * time.Millisecond
 	trialRequests = 3
+	// maxTrialSlow is the number of slow requests of a trial that ejects the host again.
+	// One in sixteen requests of a healthy host is slow at a spread of 0.5, so a single
+	// one would fail one trial in six.
+	maxTrialSlow = 2
 )
 
 // State is the judgement on a host.
@@ -75,23 +92,36 @@
 	For time.Duration
 }
 
+// Request is what an agent saw of a request.
+type Request struct {
+	Class Class
+	// Took is the service time, or the time so far of an overdue request.
+	Took time.Duration
+	// Cold is set if the host was cold when the request began. Such a request is neither
+	// slow nor learned.
+	Cold bool
+}
+
 // Detector judges one host. It is not safe for concurrent use. Times are nanoseconds
 // of the monotonic clock.
 type Detector struct {
-	state       State
-	usual       time.Duration
-	samples     int
-	slow        int
+	state State
+	times usualTimes
+	// sum is the sum of the bounded log ratios less the drift, at least 0.
+	sum         float64
 	failedShare float64
+	// usual is the usual service time of the class of the latest request.
+	usual time.Duration
 
 	// slowSince is the first ejection for slowness since the host was healthy, or 0.
-	slowSince     int64
-	ejectedUntil  int64
-	ejectedFor    time.Duration
-	healthySince  int64
-	lastTrial     int64
-	trialAnswered int
-	changes       []Change
+	slowSince    int64
+	ejectedUntil int64
+	ejectedFor   time.Duration
+	healthySince int64
+	lastTrial    int64
+	// trialAnswered and trialSlow count the requests of the present trial.
+	trialAnswered, trialSlow int
+	changes                  []Change
 }
 
 // State returns the current state.
@@ -102,7 +132,7 @@
 func (d *Detector) Admit(now int64) bool {
 	if d.state == Ejected && now >= d.ejectedUntil {
 		d.change(Trial, "ejection ended", 0)
-		d.trialAnswered, d.slow, d.failedShare = 0, 0, 0
+		d.trialAnswered, d.trialSlow, d.sum, d.failedShare = 0, 0, 0, 0
 	}
 	switch d.state {
 	case Healthy:
@@ -117,26 +147,36 @@
 	return false
 }
 
-// SlowAfter returns the service time from which a request counts as slow, or 0 while
-// too few requests were seen.
-func (d *Detector) SlowAfter() time.Duration {
-	if d.samples < minSamples {
+// OverdueAfter returns the service time from which a request of the class has its full
+// weight against the host, or 0 while too few requests of the class were seen.
+func (d *Detector) OverdueAfter(c Class) time.Duration {
+	usual, known := d.times.get(c)
+	if !known {
 		return 0
 	}
-	return max(time.Duration(slowFactor*float64(d.usual)), minSlowTime)
+	return time.Duration(maxRatio * float64(usual))
 }
 
-// Answered records the service time of a request that found a free slot.
-func (d *Detector) Answered(took time.Duration, now int64) {
-	limit := d.SlowAfter()
-	slow := limit > 0 && took > limit
-	d.addSample(took, slow)
+// Answered records a request that found a free slot and has its response.
+func (d *Detector) Answered(r Request, now int64) {
 	d.failedShare -= d.failedShare / failureWeight
-	if slow {
-		d.addSlow(took, now)
+	d.record(r, now)
+	d.countTrial(r.Took, now)
+}
+
+// Overdue records a request without a response after OverdueAfter. If it found no free
+// slot, Took is without the time that it may have waited at the host. Its later response
+// must not be passed to Answered.
+func (d *Detector) Overdue(r Request, now int64) {
+	if r.Cold {
 		return
 	}
-	d.slow = 0
+	d.record(r, now)
+	d.countTrial(r.Took, now)
+}
+
+// countTrial counts a request of the trial, which ends with the last one.
+func (d *Detector) countTrial(took time.Duration, now int64) {
 	if d.state != Trial {
 		return
 	}
@@ -145,11 +185,34 @@
 	}
 }
 
-// Overdue records a request without an answer after SlowAfter, or after twice that time
-// if it found no free slot. Its later answer must not be passed to Answered.
-func (d *Detector) Overdue(waited time.Duration, now int64) {
-	d.addSample(waited, true)
-	d.addSlow(waited, now)
+// record learns the service time of a request, or judges the host by it.
+func (d *Detector) record(r Request, now int64) {
+	if r.Cold {
+		return
+	}
+	usual, known := d.times.get(r.Class)
+	ratio := float64(r.Took) / float64(usual)
+	slow := known && ratio > slowFactor
+	if !slow {
+		d.times.learn(r.Class, r.Took, now)
+	}
+	if !known {
+		return
+	}
+	d.usual = usual
+	switch d.state {
+	case Healthy:
+		d.sum = max(d.sum+math.Log(min(max(ratio, 1/maxRatio), maxRatio))-ratioDrift, 0)
+		if slow && d.sum > maxSum {
+			d.ejectSlow(r.Took, now)
+		}
+	case Trial:
+		if slow {
+			if d.trialSlow++; d.trialSlow >= maxTrialSlow {
+				d.ejectSlow(r.Took, now)
+			}
+		}
+	}
 }
 
 // Failed records a request that the host broke off.
@@ -170,26 +233,14 @@
 	return c
 }
 
-func (d *Detector) addSample(took time.Duration, slow bool) {
-	d.samples++
-	switch {
-	case d.samples <= minSamples:
-		d.usual += (took - d.usual) / time.Duration(d.samples)
-	case !slow:
-		d.usual += (took - d.usual) / usualWeight
-	}
-}
-
-func (d *Detector) addSlow(took time.Duration, now int64) {
-	d.slow++
-	if d.state == Ejected || d.state == Healthy && d.slow < slowStreak {
-		return
-	}
+// ejectSlow ejects a slow host, unless it has been slow for so long that its work must
+// have become longer.
+func (d *Detector) ejectSlow(took time.Duration, now int64) {
 	if d.slowSince == 0 {
 		d.slowSince = now
 	}
 	if time.Duration(now-d.slowSince) >= relearnAfter {
-		d.samples, d.slow = 0, 0
+		d.times = usualTimes{}
 		d.recover("slow for long: learning its service time anew", took, now)
 		return
 	}
@@ -199,7 +250,7 @@
 // recover makes the host healthy.
 func (d *Detector) recover(reason string, last time.Duration, now int64) {
 	d.change(Healthy, reason, last)
-	d.healthySince, d.slowSince = now, 0
+	d.healthySince, d.slowSince, d.sum = now, 0, 0
 }
 
 // eject ejects the host. Requests that began before an ejection do not lengthen it.
@@ -213,7 +264,7 @@
 	d.ejectedFor = min(max(2*d.ejectedFor, minEjection), maxEjection)
 	d.ejectedUntil = now + int64(d.ejectedFor)
 	d.change(Ejected, reason, last)
-	d.slow = 0
+	d.sum = 0
 }
 
 func (d *Detector) change(to State, reason string, last time.Duration) {
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -80,8 +80,7 @@
 	// slotWasFree is set when a slot was free at requestAt.
 	busySince, requestAt        int64
 	requestPending, slotWasFree bool
-	// overdue is set once health counted the pending request as slow.
-	overdue bool
+	flowHealth
 }
 
 // queuedOpening is an opening that waits for a free slot.
@@ -132,6 +131,8 @@
 	cold      coldStart
 	queue     []queuedOpening // by requestStart, oldest first
 	lastSweep int64
+	// routes gives the time-outs of requests; see clientGaveUp.
+	routes *catalog.View
 }
 
 // NewAdmission returns an Admission without a limit; see SetSlots.
@@ -223,6 +224,7 @@
 		a.cold.recordOpening(now)
 	}
 	f.lastPacket = now
+	f.recordFromClient(p)
 	if p.IsOpening() || f.newData(p) {
 		if !f.busy {
 			f.busySince = now
@@ -287,7 +289,7 @@
 		a.forget(k, f)
 	case p.Flags.Has(FlagRST):
 		if f.requestPending {
-			a.health.Failed(now)
+			a.recordBrokenOff(k, f, now)
 		}
 		a.forget(k, f)
 	case p.Flags.Has(FlagSYN):
@@ -297,7 +299,7 @@
 		f.closedByHost = f.closedByHost || p.Flags.Has(FlagFIN)
 		took, answer = time.Duration(now-f.busySince), f.busy && p.Length > 0
 		if f.requestPending {
-			a.judge(f, p, now)
+			a.judge(k, f, p, now)
 		}
 		if answer && f.slotWasFree {
 			a.serviceTime.add(time.Duration(now - f.requestAt))
@@ -343,10 +345,9 @@
 		return
 	}
 	a.lastSweep = now
-	slowAfter := a.health.SlowAfter()
 	for k, f := range a.flows {
 		idle := time.Duration(now - f.lastPacket)
-		a.countOverdue(f, slowAfter, now)
+		a.countOverdue(k, f, now)
 		switch {
 		case idle > flowIdleTimeout, !f.established && idle > openingTimeout:
 			a.forget(k, f)
--- a/internal/relay/hosthealth.go
+++ b/internal/relay/hosthealth.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heathergw/heathergw/internal/catalog"
 	"github.com/heathergw/heathergw/internal/outlier"
 	"github.com/heathergw/heathergw/internal/packet"
 )
@@ -39,35 +40,72 @@
 	return a.health.Changes()
 }
 
-// slowAfter returns the time from which the flow's request counts as slow; limit is
-// that of a request that found a free slot. At most half as many requests as there
-// are slots wait at a host, so that the others take at most twice as long.
-func (f *flowState) slowAfter(limit time.Duration) time.Duration {
-	if f.slotWasFree {
-		return limit
+// flowHealth is what the judgement on the host needs of a flow.
+type flowHealth struct {
+	// overdue is set once health counted the pending request as slow.
+	overdue bool
+	// clientClosed is set once the client closed its direction.
+	clientClosed bool
+}
+
+// recordFromClient records a packet of the client that is delivered to the host. A later
+// opening with the same key is another flow.
+func (h *flowHealth) recordFromClient(p *Packet) {
+	h.clientClosed = !p.IsOpening() && (h.clientClosed || p.Flags.Has(FlagFIN))
+}
+
+// SetRoutes takes over the time-outs of the routes from a view.
+func (a *Admission) SetRoutes(v *catalog.View) {
+	a.mu.Lock()
+	a.routes = v
+	a.mu.Unlock()
+}
+
+// clientGaveUp reports whether the client of a pending request closed the flow or has
+// reached its deadline. The opening arrives after the client's clock has started.
+func (a *Admission) clientGaveUp(k packet.Key, f *flowState, now int64) bool {
+	if f.clientClosed || a.routes == nil {
+		return f.clientClosed
 	}
-	return 2 * limit
+	route := a.routes.Route(k.Destination)
+	return route != nil && route.Timeout > 0 && time.Duration(now-f.busySince) >= route.Timeout
 }
 
-// countOverdue records a pending request that is slow before it has a response. limit
-// is the time from which a request counts as slow, 0 while it is unknown.
-func (a *Admission) countOverdue(f *flowState, limit time.Duration, now int64) {
-	waited := time.Duration(now - f.requestAt)
-	if limit == 0 || !f.requestPending || f.overdue || waited <= f.slowAfter(limit) {
+// recordBrokenOff records that the host ended a pending request without a response. If
+// the client gave up, the host need not respond.
+func (a *Admission) recordBrokenOff(k packet.Key, f *flowState, now int64) {
+	if !a.clientGaveUp(k, f, now) {
+		a.health.Failed(now)
+	}
+}
+
+// countOverdue records a pending request that is slow before it has a response. At most
+// half as many requests as there are slots wait at a host, so a request that found no
+// free slot takes at most twice as long.
+func (a *Admission) countOverdue(k packet.Key, f *flowState, now int64) {
+	if !f.requestPending || f.overdue {
+		return
+	}
+	r := outlier.Request{Class: k.Destination, Took: time.Duration(now - f.requestAt), Cold: a.cold.coldAt(f.requestAt)}
+	if !f.slotWasFree {
+		r.Took /= 2
+	}
+	if limit := a.health.OverdueAfter(r.Class); limit == 0 || r.Took <= limit {
 		return
 	}
 	f.overdue = true
-	a.health.Overdue(waited, now)
+	a.health.Overdue(r, now)
 }
 
 // judge records how the host ended a pending request. A packet that closes the flow
 // may overtake the response, which its sequence number shows.
-func (a *Admission) judge(f *flowState, p *Packet, now int64) {
+func (a *Admission) judge(k packet.Key, f *flowState, p *Packet, now int64) {
 	closedWithoutResponse := p.Length == 0 && f.answeredOpening && p.Sequence == f.hostNext
 	switch {
 	case closedWithoutResponse:
-		a.health.Failed(now)
+		a.recordBrokenOff(k, f, now)
 	case f.slotWasFree && !f.overdue:
-		a.health.Answered(time.Duration(now-f.requestAt), now)
+		took := time.Duration(now - f.requestAt)
+		a.health.Answered(outlier.Request{Class: k.Destination, Took: took, Cold: a.cold.coldAt(f.requestAt)}, now)
 	}
 }
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -396,6 +396,7 @@
 		r := p.settings.GetRelay()
 		limits := relay.ColdLimits{Excess: r.GetColdExcess(), Slack: r.GetColdSlack()}
 		a.decisions.Admission.SetColdStart(v.Member(a.decisions.ID, a.decisions.Service), v.Service(a.decisions.Service), limits, node.Clock())
+		a.decisions.Admission.SetRoutes(v)
 	}
 	if a.hostSocket, err = wire.Listen(o.Settings.GetAgent().GetHostListen()); err != nil {
 		return nil, errors.Join(fmt.Errorf("agent.host_listen: %w", err), p.close())
