Count requests that waited for healthy hosts, too

Cause: under overload few requests find a free slot, and only those lowered the sum, while overdue requests that had waited raised it.

Change: a request that waited enters the sum with half its time, because a wait is at most as long as the service. It is not learned and returns no host to service.

--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -100,6 +100,17 @@
 	// Cold is set if the host was cold when the request began. Such a request is neither
 	// slow nor learned.
 	Cold bool
+	// Waited is set if the request found no free slot, so that Took includes its wait.
+	Waited bool
+}
+
+// served estimates the service time. At most half as many requests as there are slots
+// wait at a host, so a request that found no free slot takes at most twice as long.
+func (r Request) served() time.Duration {
+	if r.Waited {
+		return r.Took / 2
+	}
+	return r.Took
 }
 
 // Detector judges one host. It is not safe for concurrent use. Times are nanoseconds
@@ -147,30 +158,31 @@
 	return false
 }
 
-// OverdueAfter returns the service time from which a request of the class has its full
-// weight against the host, or 0 while too few requests of the class were seen.
-func (d *Detector) OverdueAfter(c Class) time.Duration {
-	usual, known := d.times.get(c)
-	if !known {
-		return 0
-	}
-	return time.Duration(maxRatio * float64(usual))
+// IsOverdue reports whether a request without a response has its full weight against the
+// host already.
+func (d *Detector) IsOverdue(r Request) bool {
+	usual, known := d.times.get(r.Class)
+	return known && !r.Cold && float64(r.served()) > maxRatio*float64(usual)
 }
 
-// Answered records a request that found a free slot and has its response.
+// Answered records a request that has its response. A host is not returned to service by
+// requests that waited, but they count for it like their overdue ones count against it:
+// under overload few requests find a free slot, and the sum would only grow.
 func (d *Detector) Answered(r Request, now int64) {
+	if r.Waited {
+		if d.state == Healthy {
+			d.record(r, now)
+		}
+		return
+	}
 	d.failedShare -= d.failedShare / failureWeight
 	d.record(r, now)
 	d.countTrial(r.Took, now)
 }
 
-// Overdue records a request without a response after OverdueAfter. If it found no free
-// slot, Took is without the time that it may have waited at the host. Its later response
-// must not be passed to Answered.
+// Overdue records a request for which IsOverdue is true. Its later response must not be
+// passed to Answered.
 func (d *Detector) Overdue(r Request, now int64) {
-	if r.Cold {
-		return
-	}
 	d.record(r, now)
 	d.countTrial(r.Took, now)
 }
@@ -191,9 +203,9 @@
 		return
 	}
 	usual, known := d.times.get(r.Class)
-	ratio := float64(r.Took) / float64(usual)
+	ratio := float64(r.served()) / float64(usual)
 	slow := known && ratio > slowFactor
-	if !slow {
+	if !slow && !r.Waited {
 		d.times.learn(r.Class, r.Took, now)
 	}
 	if !known {
--- a/internal/outlier/slowness_test.go
+++ b/internal/outlier/slowness_test.go
@@ -76,7 +76,7 @@
 	d := healthyDetector()
 	for range 10 * slowStreak {
 		d.Answered(Request{Took: 6 * usual, Cold: true}, start)
-		d.Overdue(Request{Took: 9 * usual, Cold: true}, start)
+		c.Assert(d.IsOverdue(Request{Took: 9 * usual, Cold: true}), qt.IsFalse)
 		d.Answered(Request{Took: 8 * usual, Class: costly}, start)
 	}
 	c.Check(d.State(), qt.Equals, Healthy)
@@ -90,6 +90,25 @@
 	c.Check(len(d.times.classes), qt.Equals, maxClasses)
 }
 
+// Guards against the ejection of a healthy host under overload, where few requests find a
+// free slot and the overdue ones add up.
+func TestRequestsThatWaitedCountForTheHostToo(t *testing.T) {
+	c := qt.New(t)
+	d := healthyDetector()
+	late := Request{Took: 9 * usual, Waited: true}
+	for range 1000 {
+		c.Assert(d.IsOverdue(late), qt.IsTrue)
+		d.Overdue(late, start)
+		d.Answered(Request{Took: 2 * usual, Waited: true}, start)
+		d.Answered(Request{Took: 3 * usual / 2, Waited: true}, start)
+	}
+	c.Check(d.State(), qt.Equals, Healthy)
+	for range 8 {
+		d.Answered(Request{Took: 9 * usual, Waited: true}, start)
+	}
+	c.Check(d.State(), qt.Equals, Ejected)
+}
+
 // Guards against a host that returns, or does not, by the chance of a single request.
 func TestTrialEndsByTwoOfThreeRequests(t *testing.T) {
 	c := qt.New(t)
--- a/internal/relay/hosthealth.go
+++ b/internal/relay/hosthealth.go
@@ -79,22 +79,23 @@
 	}
 }
 
-// countOverdue records a pending request that is slow before it has a response. At most
-// half as many requests as there are slots wait at a host, so a request that found no
-// free slot takes at most twice as long.
+// request returns what is known of the pending request of a flow.
+func (a *Admission) request(k packet.Key, f *flowState, now int64) outlier.Request {
+	return outlier.Request{
+		Class: k.Destination, Took: time.Duration(now - f.requestAt),
+		Cold: a.cold.coldAt(f.requestAt), Waited: !f.slotWasFree,
+	}
+}
+
+// countOverdue records a pending request that is slow before it has a response.
 func (a *Admission) countOverdue(k packet.Key, f *flowState, now int64) {
 	if !f.requestPending || f.overdue {
 		return
 	}
-	r := outlier.Request{Class: k.Destination, Took: time.Duration(now - f.requestAt), Cold: a.cold.coldAt(f.requestAt)}
-	if !f.slotWasFree {
-		r.Took /= 2
-	}
-	if limit := a.health.OverdueAfter(r.Class); limit == 0 || r.Took <= limit {
-		return
+	if r := a.request(k, f, now); a.health.IsOverdue(r) {
+		f.overdue = true
+		a.health.Overdue(r, now)
 	}
-	f.overdue = true
-	a.health.Overdue(r, now)
 }
 
 // judge records how the host ended a pending request. A packet that closes the flow
@@ -104,8 +105,7 @@
 	switch {
 	case closedWithoutResponse:
 		a.recordBrokenOff(k, f, now)
-	case f.slotWasFree && !f.overdue:
-		took := time.Duration(now - f.requestAt)
-		a.health.Answered(outlier.Request{Class: k.Destination, Took: took, Cold: a.cold.coldAt(f.requestAt)}, now)
+	case !f.overdue:
+		a.health.Answered(a.request(k, f, now), now)
 	}
 }
