--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -23,6 +23,8 @@
 	// silence detects that the host sends nothing.
 	silence hostSilence
 	queue   openingQueue
+	// routes gives the time-outs of requests; see clientGaveUp.
+	routes *catalog.View
 }
 
 // NewAdmission returns an Admission without a limit; see SetSlots.
@@ -94,6 +96,7 @@
 		a.cold.recordOpening(now)
 	}
 	f.lastPacket = now
+	f.recordFromClient(p)
 	if p.IsOpening() || f.newData(p) {
 		if !f.busy {
 			f.busySince = now
@@ -127,6 +130,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.silence.clear()
+	a.cold.hostSent(now)
 	f := a.flows[k]
 	if f == nil {
 		if p.Flags&(FlagReturned|FlagRST|FlagSYN) != 0 || len(a.flows) >= maxFlows {
@@ -142,7 +146,7 @@
 		a.forget(k, f)
 	case p.Flags.Has(FlagRST):
 		if f.requestPending {
-			a.health.Failed(now)
+			a.recordBrokenOff(k, f, now)
 		}
 		a.forget(k, f)
 	case p.Flags.Has(FlagSYN):
@@ -152,7 +156,7 @@
 		f.closedByHost = f.closedByHost || p.Flags.Has(FlagFIN)
 		took, answer = time.Duration(now-f.busySince), f.busy && p.Length > 0
 		if f.requestPending {
-			a.judge(f, p, now)
+			a.judge(k, f, p, now)
 		}
 		if answer && f.slotWasFree {
 			a.serviceTime.add(time.Duration(now - f.requestAt))
--- a/internal/relay/flows.go
+++ b/internal/relay/flows.go
@@ -56,8 +56,7 @@
 	// slotWasFree is set when a slot was free at requestAt.
 	busySince, requestAt        int64
 	requestPending, slotWasFree bool
-	// overdue is set once health counted the pending request as slow.
-	overdue bool
+	flowHealth
 }
 
 // flowTable holds the flows that the agent knows of its host.
@@ -108,10 +107,9 @@
 		return
 	}
 	a.lastSweep = now
-	slowAfter := a.health.SlowAfter()
 	for k, f := range a.flows {
 		idle := time.Duration(now - f.lastPacket)
-		a.countOverdue(f, slowAfter, now)
+		a.countOverdue(k, f, now)
 		switch {
 		case idle > flowIdleTimeout, !f.established && idle > openingTimeout:
 			a.forget(k, f)
