Order waiting openings by what can still be in time

Cause: openings wait newest first whatever their priority and target. Clients whose attempts failed come back with openings that look recent and take the slots of requests that could be in time.

Change: package waitqueue, pure: order by lateness, priority and age, truthful refusals with a budget, and a bounded length. The relay does not use it yet.

--- /dev/null
+++ b/internal/waitqueue/refuse.go
@@ -0,0 +1,123 @@
+package waitqueue
+
+import (
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// maxAttempt is the last attempt that clients send.
+	maxAttempt = 2
+	// copyMargin is how long before the client's next attempt an opening must be refused,
+	// so that the refusal arrives first: a round trip of at most 25 ms, and scheduling.
+	copyMargin = 100 * time.Millisecond
+	// overflowShare is the part of the target latency within which an opening is refused
+	// as overflow. A client that is refused later has too little time left for another
+	// attempt.
+	overflowShare = 0.25
+	// refuseInterval is the time between examinations of the queue, which sort it.
+	refuseInterval = 5 * time.Millisecond
+	// minRefusals is the lowest rate of refusals a second, for hosts whose requests take
+	// long.
+	minRefusals = 10
+	// budgetBurst is the time whose refusals can be spent at once.
+	budgetBurst = 500 * time.Millisecond
+)
+
+// Refuse removes the openings whose waiting is of no use, and returns them: those whose
+// client has given up or whose time-out would be missed, and, with refuseOverflow, those
+// that would wait longer than their target allows. Set refuseOverflow only when other
+// hosts have not taken the openings that they were offered. The result is valid until the
+// next call.
+func (q *Queue) Refuse(c Capacity, refuseOverflow bool, now int64) []Removal {
+	q.observe(now)
+	if len(q.waiting) == 0 || now-q.lastRefusal < int64(refuseInterval) {
+		return nil
+	}
+	q.lastRefusal = now
+	clear(q.removed)
+	q.removed = q.removed[:0]
+	q.judge(c, now)
+	slices.SortFunc(q.waiting, func(x, y Opening) int { return q.compare(&x, &y) })
+	kept := 0
+	for i := range q.waiting {
+		w := &q.waiting[i]
+		removal := Removal{Opening: *w}
+		switch {
+		case w.standing == over:
+			removal.Reason = AttemptOver
+		case w.standing == useless:
+			removal.Reason = PastTimeout
+			if w.truthful(now) {
+				if !q.spend(c, now) {
+					q.waiting[kept] = *w // waits for the budget
+					kept++
+					continue
+				}
+				removal.Refuse = true
+			}
+		case refuseOverflow && q.overflows(w, kept, c, now) && w.truthful(now) && q.spend(c, now):
+			removal.Reason, removal.Refuse = Overflow, true
+		default:
+			q.waiting[kept] = *w
+			kept++
+			continue
+		}
+		q.removed = append(q.removed, removal)
+	}
+	clear(q.waiting[kept:])
+	q.waiting = q.waiting[:kept]
+	return q.removed
+}
+
+// overflows reports whether an opening with the given number of others before it would be
+// answered too late, and its client still has time for another attempt.
+func (q *Queue) overflows(o *Opening, before int, c Capacity, now int64) bool {
+	target := o.Policy.TargetLatency
+	waited := time.Duration(now - o.RequestStart)
+	if target == 0 || c.Slots == 0 || waited > time.Duration(overflowShare*float64(target)) {
+		return false
+	}
+	wait := time.Duration(before+1) * c.MeanService / time.Duration(c.Slots)
+	answered := waited + wait + c.Handshake + o.service(c)
+	return answered > time.Duration(q.rules.maxTargetShare*float64(target))
+}
+
+// truthful reports whether a refusal would be true: every copy that the client can have
+// sent by now arrived here, and none went on to a host.
+func (o *Opening) truthful(now int64) bool {
+	if o.Left {
+		return false
+	}
+	age := time.Duration(now - o.FirstSent)
+	switch o.copies {
+	case 0b001:
+		return !o.ageUncertain && age <= AttemptAge(1)-copyMargin
+	case 0b011:
+		return !o.ageUncertain && age <= AttemptAge(2)-copyMargin
+	case 0b111:
+		return true
+	}
+	return false
+}
+
+// spend takes a refusal from the budget and reports whether it was there. The budget
+// bounds the load that refused clients cause when they try again.
+func (q *Queue) spend(c Capacity, now int64) bool {
+	perSecond := float64(minRefusals)
+	if c.MeanService > 0 {
+		perSecond = max(perSecond, q.rules.budgetFactor*float64(c.Slots)/c.MeanService.Seconds())
+	}
+	limit, burst := rate.Limit(perSecond), max(int(perSecond*budgetBurst.Seconds()), 1)
+	at := time.Unix(0, now)
+	if q.budget == nil {
+		q.budget = rate.NewLimiter(limit, burst)
+	}
+	if limit != q.budget.Limit() {
+		q.budget.SetLimitAt(at, limit)
+		q.budget.SetBurstAt(at, burst)
+	}
+	return q.budget.AllowN(at, 1)
+}
--- /dev/null
+++ b/internal/waitqueue/waitqueue.go
@@ -0,0 +1,224 @@
+// Package waitqueue orders the openings that wait for a slot of a host and selects those
+// that are refused. It answers this load: more openings than slots, for a second (power
+// loss) or for many seconds (burst), whose requests differ in priority, target latency and
+// time-out. A slot then goes to a request that can still be answered in time, and the
+// clients of the others learn early that they have to try again.
+//
+// The package opens no sockets, starts no goroutines and reads no clock.
+package waitqueue
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/heathergw/heathergw/internal/packet"
+)
+
+const (
+	// AttemptTimeout is the time after which a client gives up on an opening.
+	AttemptTimeout = 1400 * time.Millisecond
+	// waitingPerSlot bounds the openings for each slot: what a slot serves in the 1.4 s
+	// that clients wait, at 50 ms a request and with half of the slots taken by open flows.
+	waitingPerSlot = 16
+	// maxCallGap is the longest time between two calls after which a new opening is as
+	// old as it looks. A process that was paused for longer reads packets that waited in
+	// its socket, and other hosts may have got their copies.
+	maxCallGap = 50 * time.Millisecond
+)
+
+// AttemptAge returns how long a client has waited when it sends the given attempt of its
+// opening; the first attempt is 0.
+func AttemptAge(attempt int) time.Duration {
+	switch {
+	case attempt <= 0:
+		return 0
+	case attempt == 1:
+		return 200 * time.Millisecond
+	default:
+		return 600 * time.Millisecond
+	}
+}
+
+// Policy is what the configuration says about the requests of a route.
+type Policy struct {
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	// TargetLatency is the time within which clients want the response, Timeout the time
+	// after which they do not use it, both from the start of the request; 0 if unknown.
+	TargetLatency, Timeout time.Duration
+}
+
+// Opening is an opening that waits.
+type Opening struct {
+	Key packet.Key
+	// Datagram is the first copy that arrived. Add copies it; it belongs to whoever gets
+	// the opening from Next.
+	Datagram []byte
+	Policy   Policy
+	// Service is the expected service time of the request; 0 means the mean of the host.
+	Service time.Duration
+	// FirstSent is when the client sent the first attempt; Add sets it.
+	FirstSent int64
+	// RequestStart is when the request began, possibly on an earlier flow. Later times
+	// than FirstSent, and 0, count as FirstSent.
+	RequestStart int64
+	// Left is set if a copy of the opening may have reached another agent or a host, so
+	// that its client must not be told that nothing ran.
+	Left bool
+
+	// copies is the set of attempts that arrived, one bit each.
+	copies uint8
+	// ageUncertain is set if a copy may have waited in the socket of a paused process.
+	ageUncertain bool
+	// sequence orders openings with the same request start by arrival.
+	sequence uint64
+	// standing is the result of the latest call of judge.
+	standing standing
+}
+
+// Capacity is what the caller knows of its host.
+type Capacity struct {
+	// Slots is the number of requests that the host serves at once; 0 if unknown, which
+	// removes the bound on the queue and all refusals that depend on the wait.
+	Slots int
+	// MeanService is the mean service time of the host's requests, Handshake the time from
+	// an opening to its request; 0 if unknown.
+	MeanService, Handshake time.Duration
+}
+
+// Reason is why an opening was removed without being served.
+type Reason uint8
+
+// Reasons of a Removal.
+const (
+	// QueueFull is the last in the order when the queue exceeded its bound.
+	QueueFull Reason = iota
+	// AttemptOver is an opening whose client has given up on this attempt.
+	AttemptOver
+	// PastTimeout cannot be answered before the time-out of its request.
+	PastTimeout
+	// Overflow would wait longer than the target latency allows.
+	Overflow
+)
+
+// String returns the value of the counter label.
+func (r Reason) String() string {
+	return [...]string{QueueFull: "queue_full", AttemptOver: "attempt_over", PastTimeout: "past_timeout", Overflow: "overflow"}[r]
+}
+
+// Removal is an opening that the queue gave up.
+type Removal struct {
+	Opening
+	Reason Reason
+	// Refuse is set if the client is to be sent a reset. Otherwise nothing is sent: a host
+	// may have accepted a copy of the opening, or the budget is spent.
+	Refuse bool
+}
+
+// Queue holds the waiting openings of one host. It is not safe for concurrent use. Times
+// are nanoseconds of the monotonic clock. The caller takes an opening whenever the host may
+// get one more and calls Refuse at least every 20 ms, also when nothing waits.
+type Queue struct {
+	rules    rules
+	waiting  []Opening
+	sequence uint64
+	// passedOver counts, for each priority that waits, the turns of more urgent ones since
+	// its own last turn.
+	passedOver []turns
+	budget     *rate.Limiter
+	removed    []Removal
+	lastCall   int64
+	// uncertainUntil is the time until which arriving openings may be older than they look.
+	uncertainUntil int64
+	lastRefusal    int64
+}
+
+// New returns an empty queue.
+func New() *Queue { return newQueue(defaultRules) }
+
+func newQueue(r rules) *Queue { return &Queue{rules: r} }
+
+// Len returns the number of waiting openings.
+func (q *Queue) Len() int { return len(q.waiting) }
+
+// Add queues an opening, of which this is the given attempt, or adds to the copies of one
+// that waits. When the queue exceeds its bound, it removes the last in the order and
+// returns it with ok set.
+func (q *Queue) Add(o Opening, attempt int, c Capacity, now int64) (removed Removal, ok bool) {
+	q.observe(now)
+	o.FirstSent = now - int64(AttemptAge(attempt))
+	if o.RequestStart == 0 || o.RequestStart > o.FirstSent {
+		o.RequestStart = o.FirstSent
+	}
+	o.copies = 1 << min(max(attempt, 0), maxAttempt)
+	// Clients send no attempt beyond the last; what else they sent is not known.
+	o.Left = o.Left || attempt < 0 || attempt > maxAttempt
+	o.ageUncertain = now < q.uncertainUntil
+	for i := range q.waiting {
+		if w := &q.waiting[i]; w.Key == o.Key {
+			w.copies |= o.copies
+			w.Left = w.Left || o.Left
+			w.FirstSent = min(w.FirstSent, o.FirstSent)
+			w.RequestStart = min(w.RequestStart, o.RequestStart)
+			return Removal{}, false
+		}
+	}
+	o.Datagram = append([]byte(nil), o.Datagram...)
+	q.sequence++
+	o.sequence = q.sequence
+	q.waiting = append(q.waiting, o)
+	if c.Slots == 0 || len(q.waiting) <= c.Slots*waitingPerSlot {
+		return Removal{}, false
+	}
+	q.judge(c, now)
+	last := 0
+	for i := range q.waiting {
+		if q.compare(&q.waiting[i], &q.waiting[last]) > 0 {
+			last = i
+		}
+	}
+	removed = Removal{Opening: q.remove(last), Reason: QueueFull}
+	removed.Refuse = removed.truthful(now) && q.spend(c, now)
+	return removed, true
+}
+
+// Next removes and returns the opening that gets the next slot, unless none waits that can
+// be answered before its time-out.
+func (q *Queue) Next(c Capacity, now int64) (o Opening, ok bool) {
+	q.observe(now)
+	if len(q.waiting) == 0 {
+		q.passedOver = q.passedOver[:0]
+		return Opening{}, false
+	}
+	q.judge(c, now)
+	best := -1
+	for i := range q.waiting {
+		if w := &q.waiting[i]; w.standing < useless && (best < 0 || q.compare(w, &q.waiting[best]) < 0) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Opening{}, false
+	}
+	best = q.takeTurn(best)
+	return q.remove(best), true
+}
+
+// remove removes the opening at an index; the others may change places.
+func (q *Queue) remove(i int) Opening {
+	o := q.waiting[i]
+	last := len(q.waiting) - 1
+	q.waiting[i] = q.waiting[last]
+	q.waiting[last] = Opening{} // releases the datagram
+	q.waiting = q.waiting[:last]
+	return o
+}
+
+// observe notes the time of a call and detects pauses of the process.
+func (q *Queue) observe(now int64) {
+	if now-q.lastCall > int64(maxCallGap) {
+		q.uncertainUntil = now + int64(maxCallGap)
+	}
+	q.lastCall = now
+}
