Send packets to the member that got the opening

Cause: an opening that a busy host's agent forwards lives at another host than its first candidate. Every later packet visits the first candidate's host and those between, and an opening that an agent far down the order took over would cost each of its packets a full search.

Change: an agent keeps to which member it forwarded an opening, for 4,096 flows and 60 s, and forwards later packets and copies of the opening there, counted as owner_hint. It does so only before the full search, while it does not track the flow itself, and if the member is in its view and responsive.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -34,6 +34,8 @@
 	ownerlessSince *lru.Cache[packet.Key, int64]
 	// retries tracks the clients whose flows were lost.
 	retries *retryTracker
+	// hints holds the members to which openings were forwarded.
+	hints *ownerHints
 }
 
 // maxOwnerlessFlows bounds the flows that wait for a reset: those of one host
@@ -51,10 +53,14 @@
 	if err != nil {
 		return nil, err
 	}
+	hints, err := newOwnerHints()
+	if err != nil {
+		return nil, err
+	}
 	return &Agent{
 		Core: core, ID: catalog.MemberID(address), DataCentre: dataCentre,
 		Service: service, ServiceHash: catalog.ServiceHash(service),
-		Admission: NewAdmission(), ownerlessSince: ownerlessSince, retries: retries,
+		Admission: NewAdmission(), ownerlessSince: ownerlessSince, retries: retries, hints: hints,
 	}, nil
 }
 
@@ -74,6 +80,9 @@
 		return verdict
 	}
 	if !p.IsOpening() {
+		if verdict, ok := a.followOwnerHint(p, state, now); ok {
+			return verdict
+		}
 		if now < a.HostDownUntil.Load() {
 			// A host that is down has no flows: treat the packet as returned.
 			a.countHop(&state, now)
@@ -94,6 +103,11 @@
 		_, verdict := a.lookupRoute(v, p, now)
 		return verdict
 	}
+	if p.Attempt() == 0 {
+		a.hints.forget(p.Key, now) // of an earlier flow with the same addresses and ports
+	} else if verdict, ok := a.followOwnerHint(p, state, now); ok {
+		return verdict
+	}
 	if !a.acceptsOpenings(v, now) {
 		return a.forwardNext(p, state, now)
 	}
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -84,6 +84,7 @@
 	ReasonQueueFull        Reason = "queue_full"
 	ReasonSlotFree         Reason = "slot_free"
 	ReasonDuplicate        Reason = "copy_for_doubtful_member"
+	ReasonOwnerHint        Reason = "owner_hint"
 )
 
 // Reasons lists all reasons.
@@ -91,6 +92,7 @@
 	ReasonFirstCandidate, ReasonForwarded, ReasonOwnHost, ReasonAnswer, ReasonNoView, ReasonNoRoute, ReasonStaleNoRoute,
 	ReasonNoTarget, ReasonNoOwner, ReasonAllRefused, ReasonSearchIncomplete, ReasonUnconfirmed,
 	ReasonSenderNewerView, ReasonHostBusy, ReasonHostEjected, ReasonHostSilent, ReasonOpenedElsewhere, ReasonOtherService, ReasonQueueFull, ReasonSlotFree, ReasonDuplicate,
+	ReasonOwnerHint,
 }
 
 // Verdict is the decision on one packet.
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -30,6 +30,9 @@
 		end.Duplicates, end.State = verdict.Duplicates, verdict.State
 		return end
 	}
+	if p.IsOpening() && m.Service.Name == a.Service {
+		a.hints.record(p.Key, m.ID, now)
+	}
 	verdict.To, verdict.Member = m.Agent, m
 	verdict.State.Service = catalog.ServiceHash(m.Service.Name)
 	verdict.State.Probe = a.Reach.Probe(m.ID, now)
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -306,10 +306,10 @@
 
 // logDecision logs every decision on an opening, and other decisions unless they
 // are routine: returned packets, and packets handled at the first candidate or own
-// host or forwarded.
+// host, forwarded or sent to a hinted owner.
 func (w *worker) logDecision(p *relay.Packet, v *relay.Verdict, now int64) {
 	routine := v.Action == relay.ActionReturn || !p.IsOpening() &&
-		(v.Reason == relay.ReasonFirstCandidate || v.Reason == relay.ReasonOwnHost || v.Reason == relay.ReasonForwarded)
+		(v.Reason == relay.ReasonFirstCandidate || v.Reason == relay.ReasonOwnHost || v.Reason == relay.ReasonForwarded || v.Reason == relay.ReasonOwnerHint)
 	if routine || !w.log.AllowDecision() {
 		return
 	}
