Serve waiting openings by what can still be in time

Cause: openings waited newest first whatever their route says, and were dropped silently when the queue was full or their time was over.

Change: the agent's queue is package waitqueue, with the policy of the opening's route: priority, target latency and timeout. What can no longer be answered before its timeout, or would wait longer than its target, is refused at once if every copy that the client can have sent is here; a silent host that may have a copy rules a refusal out, also at the end of a search. A background function examines the queue each 10 ms while openings wait. A route without a target latency keeps the order newest first and is never refused for its wait.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -2,18 +2,18 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/heathergw/heathergw/internal/catalog"
 	"github.com/heathergw/heathergw/internal/outlier"
 	"github.com/heathergw/heathergw/internal/packet"
+	"github.com/heathergw/heathergw/internal/waitqueue"
 )
 
 // Admission limits the openings that a host gets at once to what its slots can
-// serve, and queues the others. The newest queued opening is admitted first. When
-// a burst exceeds the slots, for example after a power loss, when every client
-// reopens its flows, recent clients are thus served in time, and spare capacity
-// serves the backlog. An Admission is safe for concurrent use.
+// serve, and queues the others; package waitqueue orders them. An Admission is safe for
+// concurrent use.
 type Admission struct {
 	mu sync.Mutex // guards the fields below
 	flowTable
@@ -22,7 +22,12 @@
 	health outlier.Detector
 	// silence detects that the host sends nothing.
 	silence hostSilence
-	queue   openingQueue
+	queue   *waitqueue.Queue
+	// waiting is the number of openings in queue. It is also read without mu, since it is
+	// 0 for most packets.
+	waiting atomic.Int64
+	// queued receives a value when the queue is no longer empty.
+	queued chan struct{}
 	// routes gives the time-outs of requests; see clientGaveUp.
 	routes *catalog.View
 }
@@ -32,6 +37,8 @@
 	return &Admission{
 		flowTable: flowTable{flows: map[packet.Key]*flowState{}},
 		silence:   hostSilence{added: make(chan struct{}, 1)},
+		queue:     waitqueue.New(),
+		queued:    make(chan struct{}, 1),
 	}
 }
 
@@ -166,30 +173,3 @@
 	}
 	return took, answer
 }
-
-// Enqueue queues an opening until a slot is free or its client gives up;
-// requestStart is when its request began, now or earlier. When the queue exceeds
-// its limit, the oldest opening is dropped and its datagram returned, otherwise
-// nil. It is dropped rather than refused: its client may have opened the flow
-// with another attempt, and a client refused under overload comes back at once
-// with a new opening.
-func (a *Admission) Enqueue(p *Packet, requestStart, now int64) (dropped []byte) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.queue.add(p, requestStart, a.slots, now)
-}
-
-// Dequeue removes the newest queued opening when the host may get one more. It
-// returns its datagram, or nil, and the time since its first attempt was sent.
-// Whoever calls Dequeue delivers the datagram.
-func (a *Admission) Dequeue(now int64) (datagram []byte, waited time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.sweep(now)
-	a.queue.expire(now)
-	if len(a.queue) == 0 || a.full(now) {
-		return nil, 0
-	}
-	newest := a.queue.takeNewest()
-	return newest.datagram, time.Duration(now - newest.firstSent)
-}
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -8,7 +8,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/heathergw/heathergw/internal/catalog"
 	"github.com/heathergw/heathergw/internal/outlier"
+	"github.com/heathergw/heathergw/internal/waitqueue"
 )
 
 // TestAdmissionCountsRequestsOnce guards against leaked slots: retransmissions
@@ -82,15 +84,18 @@
 	a := NewAdmission()
 	a.SetSlots(1)
 	now := int64(time.Hour)
-	for i := range queuedPerSlot {
+	const queueCapacity = 16 // openings that may wait for one slot
+	for i := range queueCapacity {
 		c.Assert(a.Enqueue(&Packet{Key: flowKey(i), Datagram: []byte{byte(i)}}, now, now), qt.IsNil)
 		c.Assert(a.Enqueue(&Packet{Key: flowKey(i), Datagram: []byte{byte(i)}}, now, now), qt.IsNil)
 	}
-	c.Check(a.Enqueue(&Packet{Key: flowKey(99), Datagram: []byte{99}}, now, now), qt.DeepEquals, []byte{0})
+	removed := a.Enqueue(&Packet{Key: flowKey(99), Datagram: []byte{99}}, now, now)
+	c.Assert(removed, qt.IsNotNil)
+	c.Check(removed.Datagram, qt.DeepEquals, []byte{0})
 	newest, waited := a.Dequeue(now + int64(time.Second))
 	c.Check(newest, qt.DeepEquals, []byte{99})
 	c.Check(waited, qt.Equals, time.Second)
-	newest, _ = a.Dequeue(now + int64(openingTimeout))
+	newest, _ = a.Dequeue(now + int64(waitqueue.AttemptTimeout))
 	c.Check(newest, qt.IsNil, qt.Commentf("all clients have given up"))
 }
 
@@ -187,7 +192,7 @@
 	}
 	laterCount, withinGoal, servedCount := 0, 0, 0
 	for i, c := range clients {
-		if c.done > 0 && c.done-c.at <= int64(openingTimeout) {
+		if c.done > 0 && c.done-c.at <= int64(waitqueue.AttemptTimeout) {
 			servedCount++
 		}
 		if i >= backlog {
@@ -363,3 +368,49 @@
 		c.Check(a.health.State(), qt.Equals, test.want, qt.Commentf("%s", test.name))
 	}
 }
+
+// TestRefusalIsTrue guards against resets of openings that may have been accepted: with a
+// copy that has not arrived here, after a silent host was bypassed, or without a policy.
+func TestRefusalIsTrue(t *testing.T) {
+	f := newFleet(t, targets(1)...)
+	f.put("configuration", catalog.Record{Configuration: &catalog.Configuration{Version: 2, Routes: []catalog.Route{{
+		Name: "r", Destination: destination, Services: []catalog.WeightedService{{Service: "booking", Weight: 1}},
+		RequestPolicy: catalog.RequestPolicy{TargetLatency: 200 * time.Millisecond, Timeout: time.Second},
+	}}}})
+	view := f.view()
+	for _, test := range []struct {
+		name    string
+		echo    uint32
+		attempt int
+		view    *catalog.View
+		refused bool
+	}{
+		{"first attempt", 0, 0, view, true},
+		{"first attempt did not arrive here", 0, 1, view, false},
+		{"a silent host may have it", SearchState{Inconclusive: true}.Encode(), 0, view, false},
+		{"the configuration has no target latency", 0, 0, newFleet(t, targets(1)...).view(), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a := NewAdmission()
+			a.SetSlots(1)
+			a.SetRoutes(test.view)
+			a.serviceTime = movingAverage(100 * time.Millisecond)
+			now := int64(time.Hour)
+			for range 20 { // the process runs without a pause
+				a.Dequeue(now)
+				now += int64(10 * time.Millisecond)
+			}
+			refused := 0
+			for i := range 8 {
+				p := Packet{Key: flowKey(i), Flags: FlagSYN, Acknowledgment: uint32(test.attempt), Echo: test.echo}
+				a.Enqueue(&p, now, now)
+			}
+			for _, r := range a.RemoveUseless(now + int64(10*time.Millisecond)) {
+				if r.Refuse {
+					refused++
+				}
+			}
+			qt.Check(t, refused > 0, qt.Equals, test.refused)
+		})
+	}
+}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/heathergw/heathergw/internal/catalog"
 	"github.com/heathergw/heathergw/internal/packet"
+	"github.com/heathergw/heathergw/internal/waitqueue"
 )
 
 // Agent makes the forwarding decisions of an agent, the process beside a host.
@@ -211,9 +212,8 @@
 	return a.forwardNext(p, state, now)
 }
 
-// Enqueue queues an opening until the host has a free slot. When the queue exceeds
-// its limit, it drops the oldest opening and returns its datagram, otherwise nil.
-func (a *Agent) Enqueue(p *Packet, now int64) (dropped []byte) {
+// Enqueue queues an opening until the host has a free slot; see Admission.Enqueue.
+func (a *Agent) Enqueue(p *Packet, now int64) *waitqueue.Removal {
 	return a.Admission.Enqueue(p, a.retries.requestStart(p, now), now)
 }
 
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -82,6 +82,9 @@
 	ReasonOpenedElsewhere  Reason = "opened_at_another_host"
 	ReasonOtherService     Reason = "for_another_service"
 	ReasonQueueFull        Reason = "queue_full"
+	ReasonAttemptOver      Reason = "attempt_over"
+	ReasonPastTimeout      Reason = "past_timeout"
+	ReasonOverflow         Reason = "overflow"
 	ReasonSlotFree         Reason = "slot_free"
 	ReasonDuplicate        Reason = "copy_for_doubtful_member"
 	ReasonOwnerHint        Reason = "owner_hint"
@@ -91,7 +94,7 @@
 var Reasons = []Reason{
 	ReasonFirstCandidate, ReasonForwarded, ReasonOwnHost, ReasonAnswer, ReasonNoView, ReasonNoRoute, ReasonStaleNoRoute,
 	ReasonNoTarget, ReasonNoOwner, ReasonAllRefused, ReasonSearchIncomplete, ReasonUnconfirmed,
-	ReasonSenderNewerView, ReasonHostBusy, ReasonHostEjected, ReasonHostSilent, ReasonOpenedElsewhere, ReasonOtherService, ReasonQueueFull, ReasonSlotFree, ReasonDuplicate,
+	ReasonSenderNewerView, ReasonHostBusy, ReasonHostEjected, ReasonHostSilent, ReasonOpenedElsewhere, ReasonOtherService, ReasonQueueFull, ReasonAttemptOver, ReasonPastTimeout, ReasonOverflow, ReasonSlotFree, ReasonDuplicate,
 	ReasonOwnerHint,
 }
 
--- a/internal/relay/flows.go
+++ b/internal/relay/flows.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/heathergw/heathergw/internal/packet"
+	"github.com/heathergw/heathergw/internal/waitqueue"
 )
 
 const (
@@ -111,7 +112,7 @@
 		idle := time.Duration(now - f.lastPacket)
 		a.countOverdue(k, f, now)
 		switch {
-		case idle > flowIdleTimeout, !f.established && idle > openingTimeout:
+		case idle > flowIdleTimeout, !f.established && idle > waitqueue.AttemptTimeout:
 			a.forget(k, f)
 		case !f.established && idle > openingDataTimeout:
 			a.setBusy(f, false)
--- a/internal/relay/openings.go
+++ b/internal/relay/openings.go
@@ -1,78 +1,98 @@
 package relay
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/heathergw/heathergw/internal/packet"
+	"github.com/heathergw/heathergw/internal/waitqueue"
 )
 
-const (
-	// openingTimeout is the time after which a client gives up on an opening.
-	openingTimeout = 1400 * time.Millisecond
-	// queuedPerSlot bounds the queued openings for each slot of a host: what a
-	// slot serves in the 1.4 s that clients wait, at 50 ms a request and with
-	// half of the slots taken by open flows.
-	queuedPerSlot = 16
-)
+// capacity returns what the queue needs to know of the host.
+func (l *hostLoad) capacity() waitqueue.Capacity {
+	return waitqueue.Capacity{Slots: l.slots, MeanService: time.Duration(l.serviceTime), Handshake: time.Duration(l.handshakeTime)}
+}
 
-// openingAge returns how long a client has waited when it sends the given attempt
-// of its opening; the first attempt is 0.
-func openingAge(attempt int) time.Duration {
-	switch {
-	case attempt <= 0:
-		return 0
-	case attempt == 1:
-		return 200 * time.Millisecond
-	default:
-		return 600 * time.Millisecond
+// policyOf returns what the configuration says about the requests of an opening.
+func (a *Admission) policyOf(p *Packet) waitqueue.Policy {
+	if a.routes == nil {
+		return waitqueue.Policy{}
 	}
+	route := a.routes.Route(p.Key.Destination)
+	if route == nil {
+		return waitqueue.Policy{}
+	}
+	return waitqueue.Policy{Priority: route.Priority, TargetLatency: route.TargetLatency, Timeout: route.Timeout}
 }
 
-// queuedOpening is an opening that waits for a free slot.
-type queuedOpening struct {
-	key      packet.Key
-	datagram []byte
-	// firstSent is when the client sent the first attempt of the opening.
-	// requestStart is when its request began, possibly on an earlier flow that
-	// was lost.
-	firstSent, requestStart int64
-}
+// mayBeElsewhere reports whether a copy of the opening may have reached a host or another
+// agent's queue: a silent host was bypassed, or the search is not sure of a host.
+func mayBeElsewhere(p *Packet) bool { return DecodeSearchState(p.Echo).Inconclusive }
 
-// openingQueue holds the openings that wait for a free slot, by requestStart with the
-// oldest first.
-type openingQueue []queuedOpening
+// Enqueue queues an opening until a slot is free or waiting is of no use; requestStart is
+// when its request began, now or earlier. When the queue exceeds its bound, the opening
+// that is removed for it is returned, otherwise nil.
+func (a *Admission) Enqueue(p *Packet, requestStart, now int64) *waitqueue.Removal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o := waitqueue.Opening{Key: p.Key, Datagram: p.Datagram, Policy: a.policyOf(p), RequestStart: requestStart, Left: mayBeElsewhere(p)}
+	removed, ok := a.queue.Add(o, p.Attempt(), a.capacity(), now)
+	a.waiting.Store(int64(a.queue.Len()))
+	select {
+	case a.queued <- struct{}{}:
+	default: // a value is pending
+	}
+	if !ok {
+		return nil
+	}
+	return &removed
+}
 
-// add queues an opening; see Admission.Enqueue. slots is the number of slots of the
-// host, 0 while it is unknown.
-func (q *openingQueue) add(p *Packet, requestStart int64, slots int, now int64) (dropped []byte) {
-	for i := range *q {
-		if (*q)[i].key == p.Key {
-			return nil // retransmission of a queued opening
-		}
+// Dequeue removes the waiting opening that is next when the host may get one more. It
+// returns its datagram, or nil, and the time since its first attempt was sent. Whoever
+// calls Dequeue delivers the datagram.
+func (a *Admission) Dequeue(now int64) (datagram []byte, waited time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sweep(now)
+	if a.full(now) {
+		return nil, 0
+	}
+	next, ok := a.queue.Next(a.capacity(), now)
+	if !ok {
+		return nil, 0
 	}
-	age := int64(openingAge(p.Attempt()))
-	w := queuedOpening{key: p.Key, datagram: append([]byte(nil), p.Datagram...), firstSent: now - age, requestStart: min(requestStart, now-age)}
-	at, _ := slices.BinarySearchFunc(*q, w.requestStart+1, func(x queuedOpening, requestStart int64) int { return cmp.Compare(x.requestStart, requestStart) })
-	*q = slices.Insert(*q, at, w)
-	if slots == 0 || len(*q) <= slots*queuedPerSlot {
+	a.waiting.Store(int64(a.queue.Len()))
+	return next.Datagram, time.Duration(now - next.FirstSent)
+}
+
+// RemoveUseless removes the openings whose waiting is of no use. The result is valid until
+// the next call.
+func (a *Admission) RemoveUseless(now int64) []waitqueue.Removal {
+	if a.waiting.Load() == 0 {
 		return nil
 	}
-	dropped = (*q)[0].datagram
-	*q = append((*q)[:0], (*q)[1:]...)
-	return dropped
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	removed := a.queue.Refuse(a.capacity(), true, now)
+	a.waiting.Store(int64(a.queue.Len()))
+	return removed
 }
 
-// expire removes the openings whose clients have given up.
-func (q *openingQueue) expire(now int64) {
-	*q = slices.DeleteFunc(*q, func(w queuedOpening) bool { return now-w.firstSent >= int64(openingTimeout) })
+// Queued returns a channel that receives a value when an opening begins to wait.
+func (a *Admission) Queued() <-chan struct{} { return a.queued }
+
+// Waiting returns the number of openings that wait for a slot.
+func (a *Admission) Waiting() int { return int(a.waiting.Load()) }
+
+// removalReasons are the reasons of the verdicts on removed openings.
+var removalReasons = [...]Reason{
+	waitqueue.QueueFull: ReasonQueueFull, waitqueue.AttemptOver: ReasonAttemptOver,
+	waitqueue.PastTimeout: ReasonPastTimeout, waitqueue.Overflow: ReasonOverflow,
 }
 
-// takeNewest removes and returns the newest opening. The queue must not be empty.
-func (q *openingQueue) takeNewest() queuedOpening {
-	last := len(*q) - 1
-	newest := (*q)[last]
-	*q = (*q)[:last]
-	return newest
+// Removed decides on an opening that was removed from the queue.
+func (c *Core) Removed(p *Packet, r *waitqueue.Removal) Verdict {
+	if r.Refuse {
+		return c.reset(p, removalReasons[r.Reason])
+	}
+	return drop(removalReasons[r.Reason])
 }
--- a/internal/relay/ownerhints_test.go
+++ b/internal/relay/ownerhints_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/heathergw/heathergw/internal/catalog"
+	"github.com/heathergw/heathergw/internal/waitqueue"
 )
 
 // TestOwnerHintsShortenSearch guards against packets that visit the hosts of all leading
@@ -117,7 +118,7 @@
 	f.hosts[first].refusesOpenings = true
 	_, _ = f.sendOpening(1)
 	f.hosts[first].refusesOpenings = false
-	f.advance(openingTimeout + 1)
+	f.advance(waitqueue.AttemptTimeout + 1)
 	at, _ := f.sendOpening(1)
 	f.c.Assert(at, qt.Equals, first)
 	f.agents[first].Admission = NewAdmission() // the agent no longer tracks the flow
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -147,12 +147,13 @@
 
 // endSearch decides on a packet that no candidate accepted. The first attempt of
 // an opening is reset, because no host accepted it. A retransmission is dropped,
-// because a host may have accepted an earlier attempt.
+// because a host may have accepted an earlier attempt, and so is an attempt that a
+// silent host may have.
 func (a *Agent) endSearch(p *Packet, state SearchState, now int64) Verdict {
 	switch {
 	case p.Flags.Has(FlagRST):
 		return drop(ReasonNoOwner)
-	case p.IsOpening() && p.Attempt() > 0:
+	case p.IsOpening() && (p.Attempt() > 0 || state.Inconclusive):
 		return drop(ReasonAllRefused)
 	case p.IsOpening():
 		return a.reset(p, ReasonAllRefused)
--- a/internal/relaynode/process.go
+++ b/internal/relaynode/process.go
@@ -90,8 +90,8 @@
 	unconfirmed    *unconfirmedPackets
 	// onView is called with each new view; nil in an entry.
 	onView func(*catalog.View)
-	// background runs beside the workers until its context is cancelled; nil in an entry.
-	background func(context.Context) error
+	// background functions run beside the workers until their context is cancelled.
+	background []func(context.Context) error
 
 	// viewSource is the origin of the current view; see exchange.Update.
 	viewSource atomic.Pointer[string]
@@ -293,8 +293,8 @@
 	again := r.copy()
 	node.AddActor(&group, stopped, stop, func(c context.Context) error { return p.replayUnconfirmed(c, again) })
 	node.AddActor(&group, stopped, stop, p.watchSettings)
-	if p.background != nil {
-		node.AddActor(&group, stopped, stop, p.background)
+	for _, f := range p.background {
+		node.AddActor(&group, stopped, stop, f)
 	}
 	node.AddActor(&group, stopped, stop, p.serve(p.readyListener, http.HandlerFunc(p.serveReady)))
 	if p.statusListener != nil {
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -17,6 +17,7 @@
 	"github.com/heathergw/heathergw/internal/outlier"
 	"github.com/heathergw/heathergw/internal/relay"
 	"github.com/heathergw/heathergw/internal/wait"
+	"github.com/heathergw/heathergw/internal/waitqueue"
 	"github.com/heathergw/heathergw/internal/wire"
 )
 
@@ -36,6 +37,8 @@
 	// responseTime is the time from the delivery of a request to the first packet
 	// of the host's response; queueTime is the time an opening spent in the queue.
 	responseTime, queueTime tally.Histogram
+	// refusedOpenings counts the openings whose clients were told that they were not run.
+	refusedOpenings tally.Counter
 	// busy is the number of requests in progress at the host; hops is the number
 	// of candidates that a packet visited before this agent.
 	busy     tally.Gauge
@@ -63,9 +66,12 @@
 		badSettings:  scope.Counter("bad_settings"),
 		sendFailed:   scope.Counter("send_failed"),
 		replayed:     scope.Counter("replayed_packets"),
-		revision:     scope.Gauge("store_revision"),
-		era:          scope.Gauge("store_era"),
-		version:      scope.Gauge("configuration_version"),
+
+		refusedOpenings: scope.Counter("refused_openings"),
+
+		revision: scope.Gauge("store_revision"),
+		era:      scope.Gauge("store_era"),
+		version:  scope.Gauge("configuration_version"),
 
 		evacuated:       scope.Gauge("evacuated_data_centres"),
 		sharedAddresses: scope.Gauge("shared_addresses"),
@@ -96,8 +102,8 @@
 	packet    relay.Packet
 	admission *relay.Admission // nil in an entry
 	// enqueue queues an opening until the host has a free slot, and returns the
-	// opening that was dropped for it, if any.
-	enqueue func(p *relay.Packet, now int64) (dropped []byte)
+	// opening that was removed for it, if any.
+	enqueue func(p *relay.Packet, now int64) *waitqueue.Removal
 	// decide returns the role's verdict on a packet from this socket.
 	decide func(p *relay.Packet, now int64) relay.Verdict
 	// decideQueued returns the verdict on an opening that waited for a free slot.
@@ -159,6 +165,7 @@
 	w.execute(p, w.decide(p, now), now)
 	if w.admission != nil {
 		w.admit(now)
+		w.removeUseless(now)
 		w.recordHealth()
 		w.recordHostSilence()
 	}
@@ -205,6 +212,48 @@
 	}
 }
 
+// queueInterval is how often the queue is examined while openings wait and no packet
+// arrives: refusals are due within milliseconds, and slots become free by time-outs.
+const queueInterval = 10 * time.Millisecond
+
+// serveQueue examines the queue while openings wait.
+func (w *worker) serveQueue(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.admission.Queued():
+		}
+		for w.admission.Waiting() > 0 {
+			if wait.For(ctx, queueInterval) != nil {
+				return nil
+			}
+			now := node.Clock()
+			w.admit(now)
+			w.removeUseless(now)
+			w.out.Flush()
+		}
+	}
+}
+
+// removeUseless gives up the openings whose waiting is of no use.
+func (w *worker) removeUseless(now int64) {
+	removed := w.admission.RemoveUseless(now)
+	for i := range removed {
+		w.executeRemoval(&removed[i], now)
+	}
+}
+
+func (w *worker) executeRemoval(r *waitqueue.Removal, now int64) {
+	if err := w.adapter.Packets.Parse(r.Datagram, &w.packet); err != nil {
+		return // it was parsed before it was queued
+	}
+	if r.Refuse {
+		w.counters.refusedOpenings.Inc(1)
+	}
+	w.execute(&w.packet, w.core.Removed(&w.packet, r), now)
+}
+
 // execute carries out a verdict and records it.
 func (w *worker) execute(p *relay.Packet, v relay.Verdict, now int64) {
 	w.counters.verdicts[v.Reason].Inc(1)
@@ -232,8 +281,8 @@
 	case relay.ActionReturn:
 		w.out.Add(append(w.out.Next(), p.Datagram...), v.To)
 	case relay.ActionQueue:
-		if dropped := w.enqueue(p, now); dropped != nil && w.adapter.Packets.Parse(dropped, p) == nil {
-			w.execute(p, relay.Verdict{Action: relay.ActionDrop, Reason: relay.ReasonQueueFull}, now)
+		if removed := w.enqueue(p, now); removed != nil {
+			w.executeRemoval(removed, now)
 		}
 	case relay.ActionReset:
 		w.out.Add(w.adapter.Packets.AppendReset(w.out.Next(), p), v.To)
@@ -425,7 +474,10 @@
 		admission: a.decisions.Admission, enqueue: a.decisions.Enqueue, decideQueued: a.decisions.FromQueue, decide: a.decisions.FromHost, decideRefused: a.decisions.HostRefused, fromHost: true,
 	}
 	defer func() { _ = a.hostConn.Close() }() // a datagram socket has no pending data to lose
-	bypass := peers.copy()
-	a.background = func(c context.Context) error { return bypass.bypassHost(c, a.decisions.HostUnresponsive) }
+	bypass, queue := peers.copy(), peers.copy()
+	a.background = []func(context.Context) error{
+		func(c context.Context) error { return bypass.bypassHost(c, a.decisions.HostUnresponsive) },
+		queue.serveQueue,
+	}
 	return a.run(ctx, replayWorkers{network: peers.copy(), host: host.copy()}, peers, host)
 }
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -179,7 +179,8 @@
 		}
 	}
 	removed = Removal{Opening: q.remove(last), Reason: QueueFull}
-	removed.Refuse = removed.truthful(now) && q.spend(c, now)
+	// Without a target the opening is dropped: its client waits and sends copies.
+	removed.Refuse = removed.Policy.TargetLatency > 0 && removed.truthful(now) && q.spend(c, now)
 	return removed, true
 }
 
