Limit the openings of a host by the expected slots in use

Cause: the limit counts requests, whose costs differ by a factor of seven, on hosts whose speeds differ by 2.4. Other agents also need to know how much work waits at a host.

Change: the agent tracks which requests have a slot, learns their service times and compares the expected slots in use one handshake from now with the slots plus a margin of 0.375 for each. Room, Backlog, ExpectedWait and ExpectedService answer for the host.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/heathergw/heathergw/internal/catalog"
+	"github.com/heathergw/heathergw/internal/cost"
 	"github.com/heathergw/heathergw/internal/outlier"
 	"github.com/heathergw/heathergw/internal/packet"
 )
@@ -29,6 +30,7 @@
 func NewAdmission() *Admission {
 	return &Admission{
 		flowTable: flowTable{flows: map[packet.Key]*flowState{}},
+		hostLoad:  hostLoad{costs: cost.NewModel(), margin: marginPerSlot},
 		silence:   hostSilence{added: make(chan struct{}, 1)},
 	}
 }
@@ -57,6 +59,40 @@
 	return a.busy
 }
 
+// Room returns the number of openings that the host can take now.
+func (a *Admission) Room(now int64) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sweep(now)
+	return a.room(now)
+}
+
+// Backlog returns the expected slot time that the host needs for the requests in progress,
+// the openings in flight and the queued openings; 0 if none of their costs is known.
+func (a *Admission) Backlog(now int64) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sweep(now)
+	return a.backlog(a.queue, now)
+}
+
+// ExpectedWait returns the expected time until a slot is free for a further opening; 0 if a
+// slot is free or no cost is known.
+func (a *Admission) ExpectedWait(now int64) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sweep(now)
+	return a.expectedWait(a.queue, now)
+}
+
+// ExpectedService returns the expected service time of the request of an opening with key
+// k; 0 means unknown.
+func (a *Admission) ExpectedService(k packet.Key) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.expectedService(classOf(k))
+}
+
 // Full reports whether the host is at its limit for an opening with key k.
 // Flows that are already tracked are always admitted.
 func (a *Admission) Full(k packet.Key, now int64) bool {
@@ -76,7 +112,10 @@
 func (a *Admission) recordDeliveryLocked(p *Packet, now int64) {
 	f := a.flows[p.Key]
 	if p.Flags.Has(FlagRST) {
-		a.forget(p.Key, f)
+		if f != nil {
+			a.learn(f, false, now)
+		}
+		a.forget(p.Key, f, now)
 		return
 	}
 	if p.IsOpening() || f == nil || !f.seenFromHost {
@@ -89,20 +128,16 @@
 		if !p.IsOpening() || len(a.flows) >= maxFlows {
 			return
 		}
-		f = &flowState{halfOpen: true}
+		f = &flowState{halfOpen: true, class: classOf(p.Key)}
 		a.flows[p.Key] = f
 		a.cold.recordOpening(now)
 	}
 	f.lastPacket = now
-	if p.IsOpening() || f.newData(p) {
-		if !f.busy {
-			f.busySince = now
-		}
-		a.setBusy(f, true)
+	if !f.busy && (p.IsOpening() || f.newData(p)) {
+		a.open(f, now)
 	}
 	if p.Length > 0 && f.busy && !f.requestPending {
-		f.requestAt, f.requestPending, f.slotWasFree, f.overdue = now, true, a.pendingRequests < a.slots, false
-		a.pendingRequests++
+		a.request(f, now)
 		if !f.established && f.answeredOpening {
 			a.handshakeTime.add(time.Duration(now - f.busySince))
 		}
@@ -132,19 +167,20 @@
 		if p.Flags&(FlagReturned|FlagRST|FlagSYN) != 0 || len(a.flows) >= maxFlows {
 			return 0, false
 		}
-		f = &flowState{established: true} // opened before this process started
+		f = &flowState{established: true, class: classOf(k)} // opened before this process started
 		a.flows[k] = f
 	}
 	f.lastPacket = now
 	f.seenFromHost = true
 	switch {
 	case p.Flags.Has(FlagReturned):
-		a.forget(k, f)
+		a.forget(k, f, now)
 	case p.Flags.Has(FlagRST):
 		if f.requestPending {
 			a.health.Failed(now)
 		}
-		a.forget(k, f)
+		a.learn(f, false, now)
+		a.forget(k, f, now)
 	case p.Flags.Has(FlagSYN):
 		f.answeredOpening, f.hostInitialSequence, f.hostNext = true, p.Sequence, p.Sequence+1
 	case p.Length > 0, p.Flags.Has(FlagFIN):
@@ -157,8 +193,9 @@
 		if answer && f.slotWasFree {
 			a.serviceTime.add(time.Duration(now - f.requestAt))
 		}
+		a.learn(f, f.hasResponse(p), now)
 		f.hostNext = maxSequence(f.hostNext, p.Sequence+uint32(p.Length))
-		a.setBusy(f, false)
+		a.end(f, now)
 	}
 	return took, answer
 }
--- a/internal/relay/coldstart.go
+++ b/internal/relay/coldstart.go
@@ -63,6 +63,20 @@
 	return now-c.delivered[len(c.delivered)-c.limit] < int64(coldWindow)
 }
 
+// room returns the number of further openings that the host may get now.
+func (c *coldStart) room(now int64) int {
+	if c.limit == 0 || now >= c.until {
+		return maxFlows
+	}
+	room := c.limit
+	for _, at := range c.delivered {
+		if now-at < int64(coldWindow) {
+			room--
+		}
+	}
+	return max(room, 0)
+}
+
 // recordOpening records an opening that the host gets.
 func (c *coldStart) recordOpening(now int64) {
 	if c.limit == 0 {
--- a/internal/relay/flows.go
+++ b/internal/relay/flows.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heathergw/heathergw/internal/cost"
 	"github.com/heathergw/heathergw/internal/packet"
 )
 
@@ -56,10 +57,16 @@
 	// slotWasFree is set when a slot was free at requestAt.
 	busySince, requestAt        int64
 	requestPending, slotWasFree bool
+	// startedAt is when the pending request got a slot, 0 while it has none.
+	startedAt int64
+	class     cost.Class
 	// overdue is set once health counted the pending request as slow.
 	overdue bool
 }
 
+// classOf returns the class of the requests of a flow.
+func classOf(k packet.Key) cost.Class { return cost.Class{Destination: k.Destination} }
+
 // flowTable holds the flows that the agent knows of its host.
 type flowTable struct {
 	flows     map[packet.Key]*flowState
@@ -73,6 +80,12 @@
 	return p.Length > 0 && !f.closedByHost && (!f.answeredData || int32(end-f.answeredUpTo) > 0)
 }
 
+// hasResponse reports whether the host has responded, by a packet with data or one that
+// closes the flow and has overtaken the response.
+func (f *flowState) hasResponse(p *Packet) bool {
+	return p.Length > 0 || f.answeredOpening && p.Sequence != f.hostNext
+}
+
 // matches reports whether a packet may belong to the flow. A client completes its
 // opening at one host; its other attempts leave half-open flows at other hosts, which
 // no packet acknowledges.
@@ -95,9 +108,9 @@
 	return x
 }
 
-func (a *Admission) forget(k packet.Key, f *flowState) {
+func (a *Admission) forget(k packet.Key, f *flowState, now int64) {
 	if f != nil {
-		a.setBusy(f, false)
+		a.end(f, now)
 		delete(a.flows, k)
 	}
 }
@@ -114,11 +127,11 @@
 		a.countOverdue(f, slowAfter, now)
 		switch {
 		case idle > flowIdleTimeout, !f.established && idle > openingTimeout:
-			a.forget(k, f)
+			a.forget(k, f, now)
 		case !f.established && idle > openingDataTimeout:
-			a.setBusy(f, false)
+			a.end(f, now)
 		case idle > requestIdleTimeout:
-			a.setBusy(f, false)
+			a.end(f, now)
 		}
 	}
 }
--- a/internal/relay/hostload.go
+++ b/internal/relay/hostload.go
@@ -1,6 +1,12 @@
 package relay
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/heathergw/heathergw/internal/cost"
+)
 
 // smoothingDivisor gives the newest sample of a moving average a weight of one
 // eighth, as for round-trip times in RFC 6298.
@@ -19,7 +25,8 @@
 }
 
 // hostLoad holds what the host has in progress and derives from it whether the host
-// may get a further opening.
+// may get a further opening. It addresses this load: requests differ in cost by a factor of
+// seven and hosts in speed by 2.4, so that equal numbers of requests are unequal loads.
 type hostLoad struct {
 	slots int
 	busy  int
@@ -29,16 +36,31 @@
 	// the time from a request that found a free slot to its response.
 	handshakeTime, serviceTime movingAverage
 	cold                       coldStart
+
+	// costs holds the learned service times, nil if nothing is learned.
+	costs *cost.Model
+	// margin is the expected number of requests that wait at the host, for each slot, at
+	// which the host is full.
+	margin float64
+	// The busy flows are divided into openings in flight, requests that have a slot, and
+	// requests that wait for one at the host. The host is assumed to serve requests in the
+	// order of their arrival.
+	openings, running, waiting []*flowState
 }
 
+// marginPerSlot is the margin of hostLoad. It is the lowest at which the slots are as busy
+// under a backlog as with busyLimit: at 0.25 they lose up to 0.002 of their time, at 0.5
+// requests wait longer at the host than with busyLimit; see TestMarginOfHostLoad.
+const marginPerSlot = 0.375
+
 // maxOpeningsPerSlot bounds the handshakes in flight for each slot. A handshake
 // that takes longer than the service of two requests has lost packets.
 const maxOpeningsPerSlot = 2
 
-// busyLimit returns the number of busy flows up to which openings are admitted.
-// Half as many requests as there are slots may queue at the host. A request
-// arrives one handshake after its opening, so the limit also allows as many
-// openings in flight as the slots serve in that time: under load a handshake can
+// busyLimit returns the number of busy flows up to which openings are admitted while
+// too few service times were learned. Half as many requests as there are slots may queue
+// at the host. A request arrives one handshake after its opening, so the limit also allows
+// as many openings in flight as the slots serve in that time: under load a handshake can
 // take longer than the service, and slots would stay empty while openings wait.
 func (l *hostLoad) busyLimit() int {
 	limit := l.slots + (l.slots+1)/2
@@ -50,20 +72,222 @@
 }
 
 // full reports whether the host may get no further opening now.
-func (l *hostLoad) full(now int64) bool {
-	return l.slots > 0 && l.busy >= l.busyLimit() || l.cold.full(now)
+func (l *hostLoad) full(now int64) bool { return l.slots > 0 && l.free(now) <= 0 || l.cold.full(now) }
+
+// free returns the number of openings that the slots can take now; it may be negative.
+func (l *hostLoad) free(now int64) int {
+	if expected, ok := l.expectedInUse(now); ok {
+		return int(math.Ceil(float64(l.slots)*(1+l.margin) - expected))
+	}
+	return l.busyLimit() - l.busy
 }
 
-func (l *hostLoad) setBusy(f *flowState, busy bool) {
-	switch {
-	case busy && !f.busy:
-		l.busy++
-	case !busy && f.busy:
-		l.busy--
+// room returns the number of openings that the host can take now.
+func (l *hostLoad) room(now int64) int {
+	n := maxFlows
+	if l.slots > 0 {
+		n = max(l.free(now), 0)
+	}
+	return min(n, l.cold.room(now))
+}
+
+// expectedInUse returns the expected number of requests that have or await a slot when the
+// request of an opening that is admitted now arrives, one handshake from now. ok is false
+// while too few service times were learned.
+func (l *hostLoad) expectedInUse(now int64) (expected float64, ok bool) {
+	if _, ok := l.mean(cost.Class{}); !ok {
+		return 0, false
+	}
+	handshake := time.Duration(l.handshakeTime)
+	// spare is the time in which the slots serve requests that have none yet.
+	spare := handshake * time.Duration(max(l.slots-len(l.running), 0))
+	for _, f := range l.running {
+		elapsed := time.Duration(now - f.startedAt)
+		p, _ := l.costs.StillRunning(f.class, elapsed, handshake)
+		rest, _ := l.costs.RemainingWithin(f.class, elapsed, handshake)
+		expected += p
+		spare += handshake - rest
+	}
+	// ended is the expected number of the others that end by then if each of them gets a
+	// slot when its request arrives. The slots can serve spare divided by their mean cost.
+	var ended, work float64
+	for _, f := range l.waiting {
+		l.countEnded(f, handshake, &ended, &work)
+	}
+	for _, f := range l.openings {
+		l.countEnded(f, min(time.Duration(now-f.busySince), handshake), &ended, &work)
+	}
+	others := float64(len(l.waiting) + len(l.openings))
+	if work > 0 {
+		ended = min(ended, others*float64(spare)/work)
+	}
+	return expected + others - ended, true
+}
+
+// countEnded adds to ended the probability that the request of a flow takes at most the
+// time limit, and to work its mean service time.
+func (l *hostLoad) countEnded(f *flowState, limit time.Duration, ended, work *float64) {
+	p, _ := l.costs.StillRunning(f.class, 0, limit)
+	mean, _ := l.costs.Mean(f.class)
+	*ended += 1 - p
+	*work += float64(mean)
+}
+
+// mean returns the learned mean service time of a class.
+func (l *hostLoad) mean(c cost.Class) (time.Duration, bool) {
+	if l.costs == nil {
+		return 0, false
+	}
+	return l.costs.Mean(c)
+}
+
+// expectedService returns the mean service time of a class, or that of all requests that
+// found a free slot while too few service times were learned; 0 means unknown.
+func (l *hostLoad) expectedService(c cost.Class) time.Duration {
+	if mean, ok := l.mean(c); ok {
+		return mean
+	}
+	return time.Duration(l.serviceTime)
+}
+
+// remaining returns the expected remaining service time of a request that has a slot.
+func (l *hostLoad) remaining(f *flowState, now int64) time.Duration {
+	if l.costs != nil {
+		if rest, ok := l.costs.Remaining(f.class, time.Duration(now-f.startedAt)); ok {
+			return rest
+		}
+	}
+	return time.Duration(l.serviceTime)
+}
+
+// backlog returns the expected slot time that the host needs for the requests in progress,
+// the openings in flight and the openings that wait for it.
+func (l *hostLoad) backlog(queue openingQueue, now int64) time.Duration {
+	var sum time.Duration
+	for _, f := range l.running {
+		sum += l.remaining(f, now)
+	}
+	for _, c := range l.withoutSlot(queue) {
+		sum += l.expectedService(c)
+	}
+	return sum
+}
+
+// withoutSlot returns the classes of the requests that need a slot and have none, in the
+// order in which the host serves them.
+func (l *hostLoad) withoutSlot(queue openingQueue) []cost.Class {
+	classes := make([]cost.Class, 0, len(l.waiting)+len(l.openings)+len(queue))
+	for _, f := range l.waiting {
+		classes = append(classes, f.class)
+	}
+	for _, f := range l.openings {
+		classes = append(classes, f.class)
+	}
+	for _, w := range queue {
+		classes = append(classes, classOf(w.key))
+	}
+	return classes
+}
+
+// expectedWait returns the expected time until a slot is free for an opening behind all
+// others: until the first slot is free, and then for each request ahead its share of the
+// slots' time.
+func (l *hostLoad) expectedWait(queue openingQueue, now int64) time.Duration {
+	ahead := l.withoutSlot(queue)
+	unused := max(l.slots-len(l.running), 0)
+	if l.slots == 0 || len(ahead) < unused {
+		return 0
+	}
+	wait := l.untilFirstFree(ahead[:unused], now)
+	for _, c := range ahead[unused:] {
+		wait += l.expectedService(c) / time.Duration(l.slots)
+	}
+	return wait
+}
+
+// untilFirstFree returns the expected time until the first of the running requests and of
+// new requests of the given classes is done: the integral of the probability that all
+// still run.
+func (l *hostLoad) untilFirstFree(started []cost.Class, now int64) time.Duration {
+	if _, ok := l.mean(cost.Class{}); !ok {
+		return time.Duration(l.serviceTime) / time.Duration(l.slots)
+	}
+	const first, ratio = float64(time.Millisecond), 1.25 // the steps of the learned times
+	var sum, at float64
+	last := 1.0
+	for next := first; last > 1e-3 && next < float64(requestIdleTimeout); next *= ratio {
+		p := 1.0
+		for _, f := range l.running {
+			q, _ := l.costs.StillRunning(f.class, time.Duration(now-f.startedAt), time.Duration(next))
+			p *= q
+		}
+		for _, c := range started {
+			q, _ := l.costs.StillRunning(c, 0, time.Duration(next))
+			p *= q
+		}
+		sum += (next - at) * (last + p) / 2
+		at, last = next, p
+	}
+	return time.Duration(sum)
+}
+
+// open records an opening of a flow that is not busy.
+func (l *hostLoad) open(f *flowState, now int64) {
+	f.busy, f.busySince = true, now
+	l.busy++
+	l.openings = append(l.openings, f)
+}
+
+// request records the arrival of a request on a busy flow.
+func (l *hostLoad) request(f *flowState, now int64) {
+	f.requestAt, f.requestPending, f.slotWasFree, f.overdue = now, true, l.pendingRequests < l.slots, false
+	l.pendingRequests++
+	l.openings = without(l.openings, f)
+	l.waiting = append(l.waiting, f)
+	l.start(now)
+}
+
+// start gives free slots to the requests that wait longest.
+func (l *hostLoad) start(now int64) {
+	for len(l.waiting) > 0 && (l.slots == 0 || len(l.running) < l.slots) {
+		f := l.waiting[0]
+		f.startedAt = now
+		l.waiting = without(l.waiting, f)
+		l.running = append(l.running, f)
 	}
-	if !busy && f.requestPending {
+}
+
+// end records the end of an opening or request, if there is one.
+func (l *hostLoad) end(f *flowState, now int64) {
+	if f.requestPending {
 		l.pendingRequests--
-		f.requestPending = false
 	}
-	f.busy = busy
+	if f.busy {
+		l.busy--
+		l.openings, l.waiting, l.running = without(l.openings, f), without(l.waiting, f), without(l.running, f)
+		l.start(now)
+	}
+	f.busy, f.requestPending, f.startedAt = false, false, 0
+}
+
+func without(flows []*flowState, f *flowState) []*flowState {
+	if i := slices.Index(flows, f); i >= 0 {
+		return slices.Delete(flows, i, i+1)
+	}
+	return flows
+}
+
+// learn records the service time of a request that is about to end. responded is set if
+// the host has responded, otherwise the request was broken off. Requests that have no slot
+// by the order of their arrival say nothing.
+func (l *hostLoad) learn(f *flowState, responded bool, now int64) {
+	if l.costs == nil || f.startedAt == 0 {
+		return
+	}
+	took := time.Duration(now - f.startedAt)
+	if responded {
+		l.costs.Record(f.class, took, now)
+	} else {
+		l.costs.RecordAborted(f.class, took, now)
+	}
 }
