Compute the expected slots in use only when all slots are taken

Cause: each check of an opening summed up the histogram once for each flow.

Change: the mean is computed once after a response, and a host with fewer busy flows than slots accepts without an estimate. The results are the same.

TestMarginOfHostLoad prints the same figures as before.

--- a/internal/cost/cost.go
+++ b/internal/cost/cost.go
@@ -94,7 +94,14 @@
 }
 
 // Mean returns the mean service time.
-func (m *Model) Mean(c Class) (mean time.Duration, ok bool) { return m.Remaining(c, 0) }
+func (m *Model) Mean(c Class) (mean time.Duration, ok bool) {
+	d := m.lookup(c)
+	if d == nil {
+		return 0, false
+	}
+	d.compute()
+	return d.mean, true
+}
 
 // Quantile returns the service time that the share q of the requests does not exceed.
 func (m *Model) Quantile(c Class, q float64) (t time.Duration, ok bool) {
--- a/internal/cost/distribution.go
+++ b/internal/cost/distribution.go
@@ -51,8 +51,10 @@
 	last               int64   // time of the newest sample
 
 	// beyond holds, for each bucket, the probability of a time above its limit, and
-	// atRisk the weight of the samples that reach the bucket. Both are valid if computed.
+	// atRisk the weight of the samples that reach the bucket. They and mean are valid if
+	// computed.
 	beyond, atRisk [buckets]float64
+	mean           time.Duration
 	computed       bool
 }
 
@@ -129,6 +131,7 @@
 		}
 		d.beyond[i] = survival
 	}
+	d.mean = time.Duration(d.integral(0, limits[buckets-1]))
 }
 
 // survival returns the probability of a time above t.
--- a/internal/relay/hostload.go
+++ b/internal/relay/hostload.go
@@ -72,7 +72,9 @@
 }
 
 // full reports whether the host may get no further opening now.
-func (l *hostLoad) full(now int64) bool { return l.slots > 0 && l.free(now) <= 0 || l.cold.full(now) }
+func (l *hostLoad) full(now int64) bool {
+	return l.slots > 0 && l.busy >= l.slots && l.free(now) <= 0 || l.cold.full(now)
+}
 
 // free returns the number of openings that the slots can take now; it may be negative.
 func (l *hostLoad) free(now int64) int {
