--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heathergw/heathergw/internal/catalog"
+	"github.com/heathergw/heathergw/internal/cost"
 	"github.com/heathergw/heathergw/internal/outlier"
 	"github.com/heathergw/heathergw/internal/packet"
 	"github.com/heathergw/heathergw/internal/waitqueue"
@@ -23,9 +24,9 @@
 	// silence detects that the host sends nothing.
 	silence hostSilence
 	queue   *waitqueue.Queue
-	// waiting is the number of openings in queue. It is also read without mu, since it is
+	// queueLength is the length of queue. It is also read without mu, since it is
 	// 0 for most packets.
-	waiting atomic.Int64
+	queueLength atomic.Int64
 	// queued receives a value when the queue is no longer empty.
 	queued chan struct{}
 	// routes gives the time-outs of requests; see clientGaveUp.
@@ -36,6 +37,7 @@
 func NewAdmission() *Admission {
 	return &Admission{
 		flowTable: flowTable{flows: map[packet.Key]*flowState{}},
+		hostLoad:  hostLoad{costs: cost.NewModel()},
 		silence:   hostSilence{added: make(chan struct{}, 1)},
 		queue:     waitqueue.New(),
 		queued:    make(chan struct{}, 1),
@@ -66,6 +68,40 @@
 	return a.busy
 }
 
+// Room returns the number of openings that the host can take now.
+func (a *Admission) Room(now int64) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sweep(now)
+	return a.room(now)
+}
+
+// Backlog returns the expected slot time that the host needs for the requests in progress,
+// the openings in flight and the queued openings; 0 if none of their costs is known.
+func (a *Admission) Backlog(now int64) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sweep(now)
+	return a.backlog(a.queue, now)
+}
+
+// ExpectedWait returns the expected time until a slot is free for a further opening; 0 if a
+// slot is free or no cost is known.
+func (a *Admission) ExpectedWait(now int64) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sweep(now)
+	return a.expectedWait(a.queue, now)
+}
+
+// ExpectedService returns the expected service time of the request of an opening with key
+// k; 0 means unknown.
+func (a *Admission) ExpectedService(k packet.Key) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.expectedService(classOf(k))
+}
+
 // Full reports whether the host is at its limit for an opening with key k.
 // Flows that are already tracked are always admitted.
 func (a *Admission) Full(k packet.Key, now int64) bool {
@@ -85,7 +121,10 @@
 func (a *Admission) recordDeliveryLocked(p *Packet, now int64) {
 	f := a.flows[p.Key]
 	if p.Flags.Has(FlagRST) {
-		a.forget(p.Key, f)
+		if f != nil {
+			a.learn(f, false, now)
+		}
+		a.forget(p.Key, f, now)
 		return
 	}
 	if p.IsOpening() || f == nil || !f.seenFromHost {
@@ -98,21 +137,17 @@
 		if !p.IsOpening() || len(a.flows) >= maxFlows {
 			return
 		}
-		f = &flowState{halfOpen: true}
+		f = &flowState{halfOpen: true, class: classOf(p.Key)}
 		a.flows[p.Key] = f
 		a.cold.recordOpening(now)
 	}
 	f.lastPacket = now
 	f.recordFromClient(p)
-	if p.IsOpening() || f.newData(p) {
-		if !f.busy {
-			f.busySince = now
-		}
-		a.setBusy(f, true)
+	if !f.busy && (p.IsOpening() || f.newData(p)) {
+		a.open(f, now)
 	}
 	if p.Length > 0 && f.busy && !f.requestPending {
-		f.requestAt, f.requestPending, f.slotWasFree, f.overdue = now, true, a.pendingRequests < a.slots, false
-		a.pendingRequests++
+		a.recordRequest(f, now)
 		if !f.established && f.answeredOpening {
 			a.handshakeTime.add(time.Duration(now - f.busySince))
 		}
@@ -143,19 +178,20 @@
 		if p.Flags&(FlagReturned|FlagRST|FlagSYN) != 0 || len(a.flows) >= maxFlows {
 			return 0, false
 		}
-		f = &flowState{established: true} // opened before this process started
+		f = &flowState{established: true, class: classOf(k)} // opened before this process started
 		a.flows[k] = f
 	}
 	f.lastPacket = now
 	f.seenFromHost = true
 	switch {
 	case p.Flags.Has(FlagReturned):
-		a.forget(k, f)
+		a.forget(k, f, now)
 	case p.Flags.Has(FlagRST):
 		if f.requestPending {
 			a.recordBrokenOff(k, f, now)
 		}
-		a.forget(k, f)
+		a.learn(f, false, now)
+		a.forget(k, f, now)
 	case p.Flags.Has(FlagSYN):
 		f.answeredOpening, f.hostInitialSequence, f.hostNext = true, p.Sequence, p.Sequence+1
 	case p.Length > 0, p.Flags.Has(FlagFIN):
@@ -168,8 +204,9 @@
 		if answer && f.slotWasFree {
 			a.serviceTime.add(time.Duration(now - f.requestAt))
 		}
+		a.learn(f, f.hasResponse(p), now)
 		f.hostNext = maxSequence(f.hostNext, p.Sequence+uint32(p.Length))
-		a.setBusy(f, false)
+		a.end(f, now)
 	}
 	return took, answer
 }
--- a/internal/relay/flows.go
+++ b/internal/relay/flows.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heathergw/heathergw/internal/cost"
 	"github.com/heathergw/heathergw/internal/packet"
 	"github.com/heathergw/heathergw/internal/waitqueue"
 )
@@ -19,6 +20,11 @@
 	// flowIdleTimeout is how long a flow without packets is tracked: the longest
 	// lifetime of a flow.
 	flowIdleTimeout = 60 * time.Second
+	// closedFlowTimeout is how long a flow that its host has closed is tracked without
+	// packets: longer than the longest interval between two retransmissions, 1.6 s. Flows
+	// of one request each would otherwise fill the table in a minute, and openings that
+	// are not tracked escape the limit.
+	closedFlowTimeout = 5 * time.Second
 	// sweepInterval is the minimum time between scans for idle flows.
 	sweepInterval = 50 * time.Millisecond
 	// maxFlows bounds the number of tracked flows: the connections of a host.
@@ -57,9 +63,15 @@
 	// slotWasFree is set when a slot was free at requestAt.
 	busySince, requestAt        int64
 	requestPending, slotWasFree bool
+	// startedAt is when the pending request got a slot, 0 while it has none.
+	startedAt int64
+	class     cost.Class
 	flowHealth
 }
 
+// classOf returns the class of the requests of a flow.
+func classOf(k packet.Key) cost.Class { return cost.Class{Destination: k.Destination} }
+
 // flowTable holds the flows that the agent knows of its host.
 type flowTable struct {
 	flows     map[packet.Key]*flowState
@@ -73,6 +85,12 @@
 	return p.Length > 0 && !f.closedByHost && (!f.answeredData || int32(end-f.answeredUpTo) > 0)
 }
 
+// hasResponse reports whether the host has responded, by a packet with data or one that
+// closes the flow and has overtaken the response.
+func (f *flowState) hasResponse(p *Packet) bool {
+	return p.Length > 0 || f.answeredOpening && p.Sequence != f.hostNext
+}
+
 // matches reports whether a packet may belong to the flow. A client completes its
 // opening at one host; its other attempts leave half-open flows at other hosts, which
 // no packet acknowledges.
@@ -95,9 +113,9 @@
 	return x
 }
 
-func (a *Admission) forget(k packet.Key, f *flowState) {
+func (a *Admission) forget(k packet.Key, f *flowState, now int64) {
 	if f != nil {
-		a.setBusy(f, false)
+		a.end(f, now)
 		delete(a.flows, k)
 	}
 }
@@ -112,12 +130,13 @@
 		idle := time.Duration(now - f.lastPacket)
 		a.countOverdue(k, f, now)
 		switch {
-		case idle > flowIdleTimeout, !f.established && idle > waitqueue.AttemptTimeout:
-			a.forget(k, f)
+		case idle > flowIdleTimeout, f.closedByHost && idle > closedFlowTimeout,
+			!f.established && idle > waitqueue.AttemptTimeout:
+			a.forget(k, f, now)
 		case !f.established && idle > openingDataTimeout:
-			a.setBusy(f, false)
+			a.end(f, now)
 		case idle > requestIdleTimeout:
-			a.setBusy(f, false)
+			a.end(f, now)
 		}
 	}
 }
--- a/internal/relay/openings.go
+++ b/internal/relay/openings.go
@@ -3,12 +3,13 @@
 import (
 	"time"
 
+	"github.com/heathergw/heathergw/internal/cost"
 	"github.com/heathergw/heathergw/internal/waitqueue"
 )
 
 // capacity returns what the queue needs to know of the host.
 func (l *hostLoad) capacity() waitqueue.Capacity {
-	return waitqueue.Capacity{Slots: l.slots, MeanService: time.Duration(l.serviceTime), Handshake: time.Duration(l.handshakeTime)}
+	return waitqueue.Capacity{Slots: l.slots, MeanService: l.expectedService(cost.Class{}), Handshake: time.Duration(l.handshakeTime)}
 }
 
 // policyOf returns what the configuration says about the requests of an opening.
@@ -33,9 +34,12 @@
 func (a *Admission) Enqueue(p *Packet, requestStart, now int64) *waitqueue.Removal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	o := waitqueue.Opening{Key: p.Key, Datagram: p.Datagram, Policy: a.policyOf(p), RequestStart: requestStart, Left: mayBeElsewhere(p)}
+	o := waitqueue.Opening{
+		Key: p.Key, Datagram: p.Datagram, Policy: a.policyOf(p),
+		Service: a.expectedService(classOf(p.Key)), RequestStart: requestStart, Left: mayBeElsewhere(p),
+	}
 	removed, ok := a.queue.Add(o, p.Attempt(), a.capacity(), now)
-	a.waiting.Store(int64(a.queue.Len()))
+	a.queueLength.Store(int64(a.queue.Len()))
 	select {
 	case a.queued <- struct{}{}:
 	default: // a value is pending
@@ -60,20 +64,20 @@
 	if !ok {
 		return nil, 0
 	}
-	a.waiting.Store(int64(a.queue.Len()))
+	a.queueLength.Store(int64(a.queue.Len()))
 	return next.Datagram, time.Duration(now - next.FirstSent)
 }
 
 // RemoveUseless removes the openings whose waiting is of no use. The result is valid until
 // the next call.
 func (a *Admission) RemoveUseless(now int64) []waitqueue.Removal {
-	if a.waiting.Load() == 0 {
+	if a.queueLength.Load() == 0 {
 		return nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	removed := a.queue.Refuse(a.capacity(), true, now)
-	a.waiting.Store(int64(a.queue.Len()))
+	a.queueLength.Store(int64(a.queue.Len()))
 	return removed
 }
 
@@ -81,7 +85,7 @@
 func (a *Admission) Queued() <-chan struct{} { return a.queued }
 
 // Waiting returns the number of openings that wait for a slot.
-func (a *Admission) Waiting() int { return int(a.waiting.Load()) }
+func (a *Admission) Waiting() int { return int(a.queueLength.Load()) }
 
 // removalReasons are the reasons of the verdicts on removed openings.
 var removalReasons = [...]Reason{
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -142,6 +142,15 @@
 // Len returns the number of waiting openings.
 func (q *Queue) Len() int { return len(q.waiting) }
 
+// Keys yields the keys of the waiting openings in no particular order.
+func (q *Queue) Keys(yield func(packet.Key) bool) {
+	for i := range q.waiting {
+		if !yield(q.waiting[i].Key) {
+			return
+		}
+	}
+}
+
 // Add queues an opening, of which this is the given attempt, or adds to the copies of one
 // that waits. When the queue exceeds its bound, it removes the last in the order and
 // returns it with ok set.
