--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -24,6 +24,8 @@
 	// silence detects that the host sends nothing.
 	silence hostSilence
 	queue   *waitqueue.Queue
+	// started is set with the first opening or packet.
+	started bool
 	// queueLength is the length of queue. It is also read without mu, since it is
 	// 0 for most packets.
 	queueLength atomic.Int64
--- a/internal/relay/openings.go
+++ b/internal/relay/openings.go
@@ -34,6 +34,7 @@
 func (a *Admission) Enqueue(p *Packet, requestStart, now int64) *waitqueue.Removal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.recordStart(now)
 	o := waitqueue.Opening{
 		Key: p.Key, Datagram: p.Datagram, Policy: a.policyOf(p),
 		Service: a.expectedService(classOf(p.Key)), RequestStart: requestStart, Left: mayBeElsewhere(p),
@@ -50,12 +51,21 @@
 	return &removed
 }
 
+// recordStart tells the queue when the process began to get packets.
+func (a *Admission) recordStart(now int64) {
+	if !a.started {
+		a.started = true
+		a.queue.Restarted(now)
+	}
+}
+
 // Dequeue removes the waiting opening that is next when the host may get one more. It
 // returns its datagram, or nil, and the time since its first attempt was sent. Whoever
 // calls Dequeue delivers the datagram.
 func (a *Admission) Dequeue(now int64) (datagram []byte, waited time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.recordStart(now)
 	a.sweep(now)
 	if a.full(now) {
 		return nil, 0
@@ -76,7 +86,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	removed := a.queue.Refuse(a.capacity(), true, now)
+	removed := a.queue.Refuse(a.capacity(), false, now)
 	a.queueLength.Store(int64(a.queue.Len()))
 	return removed
 }
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -27,6 +27,10 @@
 	maxCallGap = 50 * time.Millisecond
 )
 
+// unknownAges is how long after its start a process sees many openings of clients whose
+// earlier flows ended with the former process: the longest common time-outs of requests.
+const unknownAges = 3 * time.Second
+
 // AttemptAge returns how long a client has waited when it sends the given attempt of its
 // opening; the first attempt is 0.
 func AttemptAge(attempt int) time.Duration {
@@ -112,13 +116,15 @@
 	Opening
 	Reason Reason
 	// Refuse is set if the client is to be sent a reset. Otherwise nothing is sent: a host
-	// may have accepted a copy of the opening, or the budget is spent.
+	// may have accepted a copy of the opening, the budget is spent, or a new opening of the
+	// client would look recent but be late.
 	Refuse bool
 }
 
 // Queue holds the waiting openings of one host. It is not safe for concurrent use. Times
 // are nanoseconds of the monotonic clock. The caller takes an opening whenever the host may
-// get one more and calls Refuse at least every 20 ms, also when nothing waits.
+// get one more, before it calls Refuse, and calls Refuse at least every 20 ms, also when
+// nothing waits.
 type Queue struct {
 	rules    rules
 	waiting  []Opening
@@ -132,6 +138,10 @@
 	// uncertainUntil is the time until which arriving openings may be older than they look.
 	uncertainUntil int64
 	lastRefusal    int64
+	// agesKnownFrom is the time from which the request starts of openings are reliable.
+	agesKnownFrom int64
+	// agesUnknown is set by judge while they are not.
+	agesUnknown bool
 }
 
 // New returns an empty queue.
@@ -188,13 +198,13 @@
 		}
 	}
 	removed = Removal{Opening: q.remove(last), Reason: QueueFull}
-	// Without a target the opening is dropped: its client waits and sends copies.
-	removed.Refuse = removed.Policy.TargetLatency > 0 && removed.truthful(now) && q.spend(c, now)
+	removed.Refuse = removed.canTryAgain(now) && removed.truthful(now) && q.spend(c, now)
 	return removed, true
 }
 
-// Next removes and returns the opening that gets the next slot, unless none waits that can
-// be answered before its time-out.
+// Next removes and returns the opening that gets the next slot, unless none waits whose
+// client has not given up. One that will probably miss its time-out comes last: a free slot
+// is used before anything is refused, and too high an estimate must not keep slots empty.
 func (q *Queue) Next(c Capacity, now int64) (o Opening, ok bool) {
 	q.observe(now)
 	if len(q.waiting) == 0 {
@@ -204,7 +214,7 @@
 	q.judge(c, now)
 	best := -1
 	for i := range q.waiting {
-		if w := &q.waiting[i]; w.standing < useless && (best < 0 || q.compare(w, &q.waiting[best]) < 0) {
+		if w := &q.waiting[i]; w.standing < over && (best < 0 || q.compare(w, &q.waiting[best]) < 0) {
 			best = i
 		}
 	}
@@ -225,6 +235,10 @@
 	return o
 }
 
+// Restarted records that the process began at now: for a while clients have waited for
+// longer than their openings show.
+func (q *Queue) Restarted(now int64) { q.agesKnownFrom = now + int64(unknownAges) }
+
 // observe notes the time of a call and detects pauses of the process.
 func (q *Queue) observe(now int64) {
 	if now-q.lastCall > int64(maxCallGap) {
