Select waiting openings for other hosts

Cause: work sharing needs the openings that another host should get, and whether the own queue still has work that can be in time.

Change: NextForPeer returns the best opening of a route with a target latency that can be answered before its time-out; Shareable and AnyInTime tell a caller whether to offer and whether to pull. Tested without a network; not used yet.

--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -8,6 +8,7 @@
 package waitqueue
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -225,6 +226,46 @@
 	return q.remove(best), true
 }
 
+// NextForPeer removes and returns the opening that another host should get first: only
+// routes with a target latency share their openings, and only those that can be answered
+// before their time-out are worth the way.
+func (q *Queue) NextForPeer(c Capacity, now int64) (o Opening, ok bool) {
+	q.observe(now)
+	q.judge(c, now)
+	best := -1
+	for i := range q.waiting {
+		w := &q.waiting[i]
+		if w.shareable() && (best < 0 || q.compare(w, &q.waiting[best]) < 0) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Opening{}, false
+	}
+	return q.remove(best), true
+}
+
+// shareable reports whether NextForPeer may return the opening; see judge.
+func (o *Opening) shareable() bool { return o.Policy.TargetLatency > 0 && o.standing < useless }
+
+// Shareable returns the number of openings that NextForPeer may return.
+func (q *Queue) Shareable(c Capacity, now int64) int {
+	q.judge(c, now)
+	n := 0
+	for i := range q.waiting {
+		if q.waiting[i].shareable() {
+			n++
+		}
+	}
+	return n
+}
+
+// AnyInTime reports whether an opening waits that can be answered within its target.
+func (q *Queue) AnyInTime(c Capacity, now int64) bool {
+	q.judge(c, now)
+	return slices.ContainsFunc(q.waiting, func(w Opening) bool { return w.standing == inTime })
+}
+
 // remove removes the opening at an index; the others may change places.
 func (q *Queue) remove(i int) Opening {
 	o := q.waiting[i]
--- a/internal/waitqueue/waitqueue_test.go
+++ b/internal/waitqueue/waitqueue_test.go
@@ -247,3 +247,23 @@
 		}
 	}
 }
+
+// TestOpeningsForPeers guards against openings that another host gets although they are of
+// no use there or their route has no target, and against a host that pulls more while its
+// own openings can still be in time.
+func TestOpeningsForPeers(t *testing.T) {
+	c := qt.New(t)
+	host := Capacity{Slots: 1, MeanService: 30 * ms, Handshake: 5 * ms}
+	q := New()
+	q.Add(opening("no target", 0, 0, 0), 0, host, start)
+	q.Add(opening("late", 0, 100*ms, time.Second), 0, host, start)
+	c.Check(q.AnyInTime(host, at(200*ms)), qt.IsTrue, qt.Commentf("without a target there is nothing to miss"))
+	q.Add(opening("in time", 0, 500*ms, time.Second), 0, host, at(200*ms))
+	c.Check(q.Shareable(host, at(200*ms)), qt.Equals, 2)
+	first, _ := q.NextForPeer(host, at(200*ms))
+	second, _ := q.NextForPeer(host, at(200*ms))
+	c.Check(string(first.Datagram)+", "+string(second.Datagram), qt.Equals, "in time, late")
+	_, ok := q.NextForPeer(host, at(200*ms))
+	c.Check(ok, qt.IsFalse)
+	c.Check(q.Len(), qt.Equals, 1)
+}
