Skip replaced configurations and read long series by a list

TestLargeChangesDelayNoConfiguration, series of configurations: after 60 configurations of 120 KB as JSON the reader received them in watches of 0.8 MB, 2.8 MB and more. In a traced run with the race detector that failed (7 cores, load 27), the watch of 2.8 MB took 0.6 s to arrive, 0.93 s to decode as JSON and 0.51 s to decode 24 configurations, 23 of which never come into force; the next watch had as much again, while a list of all items (224 KB) took 0.09 s. Reading took time in proportion to the changes and not to the content.

Of the configurations in one response, only the last valid one is decoded. A watch longer than the latest list, and at least 2 MB, is followed by a list.

--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -26,6 +26,9 @@
 	// maxResponseBytes limits one response. A page holds at most 1 MB of values, and
 	// base64 makes them a third longer.
 	maxResponseBytes = 4 << 20
+	// minWatchBytes is the least limit of a watch's response: one value of 1 MB as base64
+	// and a few small changes, so that a single large change needs no list.
+	minWatchBytes = 2 << 20
 	// maxIncompleteWatches is the number of watches in a row whose response does not end
 	// after which the reader lists all items: on a slow link a large response needs more
 	// time than a call has.
@@ -89,9 +92,11 @@
 	timeout time.Duration
 	// incompleteWatches counts the watches in a row whose response did not end.
 	incompleteWatches int
+	// listBytes is the size of the pages of the latest complete list.
+	listBytes int64
 	// Prepare is applied to the items of each response, so that a list does not hold the
 	// values of all pages. If it is nil, the items stay as they are.
-	Prepare func(catalog.Item) catalog.Item
+	Prepare func([]catalog.Item) []catalog.Item
 }
 
 // NewStore returns a reader of the store at the base URL of the client.
@@ -104,8 +109,9 @@
 func (s *Store) List(ctx context.Context) (Response, error) {
 	var all Response
 	after := ""
+	listBytes := int64(0)
 	for {
-		page, err := s.call(ctx, s.api.ListPath(after), s.timeout)
+		page, size, err := s.call(ctx, s.api.ListPath(after), s.timeout, maxResponseBytes)
 		if err != nil {
 			return Response{}, fmt.Errorf("list: %w", err)
 		}
@@ -116,7 +122,9 @@
 			return Response{}, fmt.Errorf("list: %w", ErrEraChanged)
 		}
 		all.Items = append(all.Items, page.Items...)
+		listBytes += size
 		if !page.More || len(page.Items) == 0 {
+			s.listBytes = listBytes
 			return all, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
@@ -126,7 +134,7 @@
 // Watch returns the changes after a revision as soon as there are any, or a response
 // without items when the wait ends.
 func (s *Store) Watch(ctx context.Context, after uint64, wait time.Duration) (Response, error) {
-	changes, err := s.call(ctx, s.api.WatchPath(after, wait), wait+s.timeout)
+	changes, _, err := s.call(ctx, s.api.WatchPath(after, wait), wait+s.timeout, s.watchLimit())
 	if !errors.Is(err, errBodyIncomplete) {
 		s.incompleteWatches = 0
 	} else if s.incompleteWatches++; s.incompleteWatches >= maxIncompleteWatches {
@@ -143,28 +151,35 @@
 	return changes, nil
 }
 
-// call sends one request on a connection of its own.
-func (s *Store) call(ctx context.Context, path string, timeout time.Duration) (Response, error) {
+// watchLimit returns the number of bytes after which a watch is given up in favour of a
+// list. A watch returns each change of a key, a list only the latest one: in a series of
+// configurations, a watch that is longer than all items takes longer to read than a list
+// and leaves the reader further behind.
+func (s *Store) watchLimit() int64 {
+	return min(max(s.listBytes, minWatchBytes), maxResponseBytes)
+}
+
+// call sends one request on a connection of its own and returns the response with its
+// size in bytes.
+func (s *Store) call(ctx context.Context, path string, timeout time.Duration, limit int64) (Response, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s.client.metrics.reads.Inc(1)
-	status, header, body, err := s.client.fetch(ctx, s.client.base.String()+path, maxResponseBytes)
+	status, header, body, err := s.client.fetch(ctx, s.client.base.String()+path, limit)
 	var response Response
 	if err == nil {
 		s.timeout = storeTimeout
 		response, err = s.api.Decode(status, header, body)
 		if s.Prepare != nil {
-			for i, item := range response.Items {
-				response.Items[i] = s.Prepare(item)
-			}
+			response.Items = s.Prepare(response.Items)
 		}
 	} else if errors.Is(err, ErrTooLarge) {
-		err = fmt.Errorf("%w: more than %d bytes", ErrResponseTooLarge, maxResponseBytes)
+		err = fmt.Errorf("%w: more than %d bytes", ErrResponseTooLarge, limit)
 	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		s.timeout = slowStoreTimeout
 	}
 	if err != nil && !RequiresList(err) {
 		s.client.metrics.failures.Inc(1)
 	}
-	return response, err
+	return response, int64(len(body)), err
 }
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -189,3 +189,56 @@
 		}()
 	}
 }
+
+// Guards against a reader that repeats a watch or a list without progress because of
+// its size: past the limit of a watch, and after two watches whose response does not end,
+// it must list; at the limit it must not, and its limit follows the size of the list.
+func TestLimitsOfWatches(t *testing.T) {
+	ctx := context.Background()
+	value := func(n int) []byte { return make([]byte, n) }
+	const megabyte = 1 << 20
+	for name, test := range map[string]struct {
+		// listed is the size of the values of a list before the watch, changes are the
+		// sizes of the values of the watch.
+		listed, changes []int
+		err             error
+	}{
+		"one value of 1 MB":                      {nil, []int{megabyte}, nil},
+		"a series that exceeds a small list":     {[]int{1000}, []int{megabyte, megabyte}, store.ErrResponseTooLarge},
+		"the same changes beside a large list":   {[]int{megabyte, megabyte}, []int{megabyte, megabyte}, nil},
+		"changes that exceed the largest answer": {[]int{megabyte, megabyte, megabyte, megabyte}, []int{megabyte, megabyte, megabyte, megabyte}, store.ErrResponseTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s, reader := newReader(t)
+			for i, n := range test.listed {
+				s.Put(fmt.Sprint("listed-", i), value(n))
+			}
+			_, err := reader.List(ctx)
+			if len(test.listed) > 0 {
+				c.Assert(err, qt.IsNil)
+			}
+			revision := s.Revision()
+			for _, n := range test.changes {
+				s.Put("changed", value(n))
+			}
+			changes, err := reader.Watch(ctx, revision, time.Millisecond)
+			c.Assert(errors.Is(err, test.err), qt.IsTrue, qt.Commentf("%v", err))
+			if test.err != nil {
+				c.Check(store.RequiresList(err), qt.IsTrue)
+				return
+			}
+			c.Check(changes.Items, qt.HasLen, len(test.changes))
+		})
+	}
+
+	c := qt.New(t)
+	s, reader := newReader(t)
+	s.Put("a", value(megabyte))
+	s.SetFault(func(netip.Addr) platformtest.Fault { return platformtest.Fault{Truncate: true} })
+	for _, requiresList := range []bool{false, true, false, true} {
+		_, err := reader.Watch(ctx, 1, time.Millisecond)
+		c.Assert(err, qt.IsNotNil)
+		c.Check(store.RequiresList(err), qt.Equals, requiresList, qt.Commentf("two watches in a row that do not end: %v", err))
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -182,7 +182,7 @@
 	}
 	scope = scope.SubScope("exchange")
 	store, confirmStore := newStore(), newStore()
-	store.Prepare, confirmStore.Prepare = decode.Prepare, decode.Prepare
+	store.Prepare, confirmStore.Prepare = decode.PrepareAll, decode.PrepareAll
 	return &Directory{
 		settings: s, log: log, store: store, confirmStore: confirmStore, socket: socket, streams: streams, publish: publish, onHeartbeat: onHeartbeat,
 		election:  readerElection{self: s.Listen.Addr(), entry: s.Entry, startedAt: node.Clock()},
