Report each silent member in some heartbeat

A heartbeat names at most 32 silent members, the first in the order of the map, which stays the same. With more silent members, for example after the loss of a data centre, the others were neither reported nor probed by heartbeats: of 96 members 200 calls named the same 32. They are now chosen at random.

--- a/internal/relaynode/process.go
+++ b/internal/relaynode/process.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -256,15 +257,16 @@
 // maxSilentSent bounds the silent members listed in one heartbeat.
 const maxSilentSent = 32
 
-// silentMembers returns the IDs of members that do not answer this process.
+// silentMembers returns the IDs of members that do not answer this process. Of more than
+// maxSilentSent it returns some at random, so that later heartbeats name the others.
 func (p *process) silentMembers() []uint32 {
 	var ids []uint32
-	p.core.Reach.EachOverdue(node.Clock(), func(id uint32) {
-		if len(ids) < maxSilentSent {
-			ids = append(ids, id)
-		}
-	})
-	return ids
+	p.core.Reach.EachOverdue(node.Clock(), func(id uint32) { ids = append(ids, id) })
+	if len(ids) <= maxSilentSent {
+		return ids
+	}
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:maxSilentSent]
 }
 
 // recordSilentReport records the members that do not answer a peer.
