--- a/internal/catalog/lost_test.go
+++ b/internal/catalog/lost_test.go
@@ -207,3 +207,32 @@
 		t.Fatalf("at %v the first catalog has %v, the second %v", first.Position(), contents[0], contents[1])
 	}
 }
+
+// TestRemovedTargetsPastTheLimit guards against memory that grows with the targets that
+// left, and against forgetting another one than the first: past the limit an older copy
+// of the store brings back only the target that left first.
+func TestRemovedTargetsPastTheLimit(t *testing.T) {
+	c := qt.New(t)
+	catalog := New(decode)
+	var items []Item
+	for i := range maxRemoved + 1 {
+		items = append(items, item(fmt.Sprintf("t%04d", i), uint64(i+2), fmt.Sprintf("10.0.%d.%d booking draining 1", i>>8, i&255)))
+	}
+	former := append([]Item{item("config", 1, "config 1")}, items...)
+	revision := uint64(len(former))
+	catalog.Replace(former, at(revision), 0)
+	for i, it := range items {
+		removal := Item{Key: it.Key, Revision: revision + 1, Deleted: true}
+		_, ok := catalog.Apply(at(revision), at(revision+1), []Item{removal}, int64(i))
+		c.Assert(ok, qt.IsTrue)
+		revision++
+	}
+	c.Assert(catalog.removed, qt.HasLen, maxRemoved)
+	catalog.Replace(former, Position{Era: 2, Revision: uint64(len(former))}, int64(len(items)))
+	draining := 0
+	catalog.View(int64(drainedRetention)*2, 8100).Members(func(m *Member) {
+		draining++
+		c.Check(m.Name, qt.Equals, items[0].Key)
+	})
+	c.Check(draining, qt.Equals, 1)
+}
