List what happens at each limit and past it

Tests that go past the limits of responses to pulls, redirects and kept changes. Without a test past it: the distance of positions within 12 bits.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -401,3 +401,24 @@
 		})
 	}
 }
+
+// TestRecentChangesPastTheLimit guards against memory that grows with the changes, and
+// against a peer that gets a part of what it lacks: past the limit it needs everything.
+func TestRecentChangesPastTheLimit(t *testing.T) {
+	c := qt.New(t)
+	catalog := New(decode)
+	catalog.Replace([]Item{item("config", 1, "config 1")}, at(1), 0)
+	revision := uint64(1)
+	for ; revision <= maxRecentChanges+1; revision++ {
+		since, ok := catalog.Since(at(1))
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(since, qt.HasLen, int(revision-1))
+		it := item(fmt.Sprint("t", revision), revision+1, fmt.Sprintf("10.0.0.%d booking ready 1", revision))
+		catalog.Apply(at(revision), at(revision+1), []Item{it}, 0)
+	}
+	_, ok := catalog.Since(at(1))
+	c.Check(ok, qt.IsFalse)
+	since, ok := catalog.Since(at(2))
+	c.Assert(ok, qt.IsTrue)
+	c.Check(since, qt.HasLen, maxRecentChanges)
+}
--- a/internal/exchange/limits_test.go
+++ b/internal/exchange/limits_test.go
@@ -99,3 +99,25 @@
 	}
 	c.Check(told, qt.HasLen, entries, qt.Commentf("different peers each time"))
 }
+
+// Guards against the memory of many responses that are encoded at once, and against a
+// peer that waits for its turn without end: past the limit a pull ends within its time,
+// and succeeds once another response is encoded.
+func TestResponsesPastTheLimitWait(t *testing.T) {
+	c := qt.New(t)
+	d := newIdleDirectory(t)
+	go func() { _ = d.serveStreams() }() // ends with the directory
+	address := netip.MustParseAddrPort(d.streams.Addr().String())
+	for range maxConcurrentResponses {
+		d.responses <- struct{}{}
+	}
+	_, err := fetchChanges(context.Background(), address, 0)
+	c.Assert(err, qt.IsNotNil)
+	waiting := make(chan error)
+	go func() {
+		_, err := fetchChanges(context.Background(), address, 0)
+		waiting <- err
+	}()
+	<-d.responses
+	c.Check(<-waiting, qt.IsNil)
+}
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -82,3 +82,20 @@
 	c.Check(agent.confirmedOwnerless(&Packet{Key: flowKey(0)}, later), qt.IsFalse, qt.Commentf("forgotten: no reset without a proof"))
 	c.Check(agent.confirmedOwnerless(&Packet{Key: flowKey(2)}, later), qt.IsTrue)
 }
+
+// Guards against an opening that visits host after host while all are busy: past the
+// limit it waits at the one that it reached.
+func TestBusyRedirectsPastTheLimit(t *testing.T) {
+	f := newFleet(t, targets(24)...)
+	for _, a := range f.agents {
+		a.Admission.SetSlots(1)
+		for i := range 100 {
+			a.Admission.RecordDelivery(&Packet{Key: flowKey(1000 + i), Flags: FlagSYN}, f.now)
+		}
+	}
+	for client := range 50 {
+		_, v := f.sendOpening(client)
+		f.c.Assert(v.Action, qt.Equals, ActionQueue, qt.Commentf("%s", v.Reason))
+		f.c.Assert(v.State.Hops <= maxBusyRedirects, qt.IsTrue, qt.Commentf("%d hops", v.State.Hops))
+	}
+}
