Give each worker its own list of removed openings

Cause: Admission.RemoveUseless returned the buffer of the queue, which is valid until the next call. Three workers (network, host, queue) call it; the next one overwrote the list while the first still sent its refusals. A worker could send a reset for an opening that another worker had only dropped.

Test: TestRemovalsAreNotSharedBetweenWorkers. Before, the first list held the datagram of the second opening after the second call; after, it is unchanged.

--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -414,3 +414,22 @@
 		})
 	}
 }
+
+// Guards against workers that overwrite each other's removals: a client would be told that
+// nothing ran because another opening was to be refused.
+func TestRemovalsAreNotSharedBetweenWorkers(t *testing.T) {
+	c := qt.New(t)
+	a := NewAdmission()
+	a.SetSlots(1)
+	var first []waitqueue.Removal
+	for i := range 2 {
+		now := int64(time.Hour) + int64(i)*int64(time.Minute)
+		a.Enqueue(&Packet{Key: flowKey(i), Flags: FlagSYN, Datagram: []byte{byte(i)}}, now, now)
+		removed := a.RemoveUseless(now + int64(waitqueue.AttemptTimeout))
+		c.Assert(removed, qt.HasLen, 1)
+		if i == 0 {
+			first = removed
+		}
+	}
+	c.Check(first[0].Datagram, qt.DeepEquals, []byte{0})
+}
--- a/internal/relay/openings.go
+++ b/internal/relay/openings.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/heathergw/heathergw/internal/cost"
@@ -78,15 +79,15 @@
 	return next.Datagram, time.Duration(now - next.FirstSent)
 }
 
-// RemoveUseless removes the openings whose waiting is of no use. The result is valid until
-// the next call.
+// RemoveUseless removes the openings whose waiting is of no use. The result belongs to the
+// caller, since several workers call it.
 func (a *Admission) RemoveUseless(now int64) []waitqueue.Removal {
 	if a.queueLength.Load() == 0 {
 		return nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	removed := a.queue.Refuse(a.capacity(), false, now)
+	removed := slices.Clone(a.queue.Refuse(a.capacity(), false, now))
 	a.queueLength.Store(int64(a.queue.Len()))
 	return removed
 }
