Do not reset openings that waited for a slot

Cause: an opening that left the queue looked like a first attempt that had just arrived. If its host returned it, or its data centre was evacuated while it waited, the search ended with a reset, or the next agent took it for new and could refuse it within 100 ms. By then the client may have sent further copies through other processes, and a host may have accepted one. The mark of a copy that passed a silent host was lost as well if it came second.

Change: FromQueue marks the search as inconclusive. The opening is dropped where it would have been reset; the client sends its copies.

Test: TestOpeningThatWaitedIsNotReset.

--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -433,3 +433,37 @@
 	}
 	c.Check(first[0].Datagram, qt.DeepEquals, []byte{0})
 }
+
+// Guards against resets of openings that waited here: by then their clients have sent
+// further copies, of which a host may have accepted one. Neither this agent nor one that
+// gets the opening afterwards may refuse it.
+func TestOpeningThatWaitedIsNotReset(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		evacuated []string
+		bounced   bool // the host returns the opening
+		want      Action
+	}{
+		{"delivered", nil, false, ActionDeliver},
+		{"returned by the host", []string{"dc-2"}, true, ActionDrop},
+		{"for another host", []string{"dc-1"}, false, ActionForward},
+		{"without another host", []string{"dc-1", "dc-2"}, false, ActionDrop},
+	} {
+		f := newFleet(t, targets(2)...)
+		for _, dataCentre := range test.evacuated {
+			f.put("evacuation "+dataCentre, catalog.Record{Evacuated: dataCentre})
+		}
+		f.distributeView()
+		a := f.agents[target("10.1.0.10").Host.Addr()]
+		p := Packet{Key: flowKey(1), Flags: FlagSYN}
+		v := a.FromQueue(&p, 300*time.Millisecond, f.now)
+		if test.bounced {
+			p.Flags, p.Echo = FlagSYN|FlagReturned, v.State.Encode()
+			v = a.FromHost(&p, f.now)
+		}
+		f.c.Check(v.Action, qt.Equals, test.want, qt.Commentf("%s", test.name))
+		if v.Action != ActionDrop {
+			f.c.Check(v.State.Inconclusive, qt.IsTrue, qt.Commentf("%s", test.name))
+		}
+	}
+}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -181,9 +181,12 @@
 }
 
 // FromQueue decides on an opening that waited for a free slot. The host may have begun
-// to drain in the meantime, or its data centre may have been evacuated.
+// to drain in the meantime, or its data centre may have been evacuated. The end of the
+// search proves nothing from here on: the client may have sent further copies, which may
+// have taken other ways.
 func (a *Agent) FromQueue(p *Packet, waited time.Duration, now int64) Verdict {
 	state := DecodeSearchState(p.Echo)
+	state.Inconclusive = true
 	if !a.acceptsOpenings(a.View.Load(), now) {
 		return a.redirect(p, state, now)
 	}
