Do not reset openings that were held

Cause: a process without a view, or one whose sender had a newer view, holds an opening for up to 1.2 s and then decides on it as on one that has just arrived. The client has sent further copies by then, and through another entry a host may have accepted one.

Change: Packet.Delayed marks a packet that was held. The search of a delayed opening is inconclusive from the start, and the entry drops it when there is no target. Packets of open flows are not affected.

Before, the forwarded opening had no mark, and entry and agent reset it; after, it is marked and dropped.

--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -467,3 +467,23 @@
 		}
 	}
 }
+
+// Guards against resets of openings whose client has sent further copies because the first
+// one was held by this process.
+func TestDelayedOpeningIsNotReset(t *testing.T) {
+	f := newFleet(t, targets(2)...)
+	for _, dataCentre := range []string{"dc-1", "dc-2"} {
+		f.put("evacuation "+dataCentre, catalog.Record{Evacuated: dataCentre})
+	}
+	f.distributeView()
+	a := f.agents[target("10.1.0.10").Host.Addr()]
+	for _, delayed := range []bool{false, true} {
+		want := ActionReset
+		if delayed {
+			want = ActionDrop
+		}
+		p := Packet{Key: flowKey(1), Flags: FlagSYN, Service: []byte(a.Service), Delayed: delayed}
+		f.c.Check(f.entry.FromClient(&p, f.now).Action, qt.Equals, want, qt.Commentf("entry, delayed: %v", delayed))
+		f.c.Check(a.FromPeer(&p, f.now).Action, qt.Equals, want, qt.Commentf("agent, delayed: %v", delayed))
+	}
+}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -67,7 +67,7 @@
 
 // FromPeer decides on a client's packet that another process forwarded here.
 func (a *Agent) FromPeer(p *Packet, now int64) Verdict {
-	state := DecodeSearchState(p.Echo)
+	state := p.searchState()
 	v := a.View.Load()
 	if !a.isForOwnService(p, state) {
 		// The sender's view has another service at this address. Counting the
@@ -207,7 +207,7 @@
 	if !p.Flags.Has(FlagReturned) {
 		return Verdict{Action: ActionReturn, Reason: ReasonAnswer, To: ClientAddress(p.Key.Destination, a.ClientPort)}
 	}
-	state := DecodeSearchState(p.Echo)
+	state := p.searchState()
 	a.countHop(&state, now)
 	if state.FullSearch && !p.IsOpening() {
 		a.retries.recordLost(p, now)
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -36,7 +36,7 @@
 	if m == nil {
 		// A host may have accepted an earlier attempt before its data centre was
 		// evacuated or it began to drain.
-		if p.IsOpening() && p.Attempt() == 0 && e.viewFresh(now) {
+		if p.IsOpening() && p.Attempt() == 0 && !p.Delayed && e.viewFresh(now) {
 			return e.reset(p, ReasonNoTarget)
 		}
 		return drop(ReasonNoTarget)
@@ -44,6 +44,7 @@
 	verdict.To, verdict.Member = m.Agent, m
 	verdict.State = SearchState{
 		Service: catalog.ServiceHash(m.Service.Name), Probe: e.Reach.Probe(m.ID, now), Position: positionLowBits(v.At),
+		Inconclusive: p.mayHaveCopies(),
 	}
 	return verdict
 }
--- a/internal/relay/openings.go
+++ b/internal/relay/openings.go
@@ -27,7 +27,7 @@
 
 // mayBeElsewhere reports whether a copy of the opening may have reached a host or another
 // agent's queue: a silent host was bypassed, or the search is not sure of a host.
-func mayBeElsewhere(p *Packet) bool { return DecodeSearchState(p.Echo).Inconclusive }
+func mayBeElsewhere(p *Packet) bool { return p.searchState().Inconclusive }
 
 // Enqueue queues an opening until a slot is free or waiting is of no use; requestStart is
 // when its request began, now or earlier. When the queue exceeds its bound, the opening
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -44,6 +44,9 @@
 	// Service is the name of the service that a forwarded opening is for; it is not
 	// part of Datagram. Other packets have none.
 	Service []byte
+	// Delayed is set if this process or its host had the packet for so long that the
+	// client may have sent further copies, which may have taken other ways.
+	Delayed bool
 }
 
 // IsOpening reports whether the packet opens a flow (SYN without ACK).
@@ -51,6 +54,17 @@
 	return p.Flags.Has(FlagSYN) && !p.Flags.Has(FlagACK)
 }
 
+// searchState returns the state of the packet's search.
+func (p *Packet) searchState() SearchState {
+	state := DecodeSearchState(p.Echo)
+	state.Inconclusive = state.Inconclusive || p.mayHaveCopies()
+	return state
+}
+
+// mayHaveCopies reports whether further copies of an opening may have reached hosts, so that
+// the end of its search proves nothing.
+func (p *Packet) mayHaveCopies() bool { return p.Delayed && p.IsOpening() }
+
 // Attempt returns the number of the attempt of an opening, 0 for the first one.
 // Clients count retransmissions of openings in the acknowledgment field.
 func (p *Packet) Attempt() int { return int(p.Acknowledgment) }
--- a/internal/relaynode/heldpackets.go
+++ b/internal/relaynode/heldpackets.go
@@ -107,7 +107,7 @@
 			if err := p.adapter.Packets.Parse(h.datagram, &w.packet); err != nil {
 				continue // it was parsed before it was held
 			}
-			w.packet.Service = h.service
+			w.packet.Service, w.packet.Delayed = h.service, true
 			w.execute(&w.packet, w.decide(&w.packet, now), now)
 			w.out.Flush()
 		}
