Do not reset openings that a host returns late

Change: RecordResponse sets Packet.Delayed for a returned opening that the host had for HostSilenceTimeout or whose delivery is not known.

Test: TestLateReturnOfOpeningIsNotReset. Before, the late opening was reset; after, it is dropped, and one that returns at once is still reset.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -139,7 +139,7 @@
 		if !p.IsOpening() || len(a.flows) >= maxFlows {
 			return
 		}
-		f = &flowState{halfOpen: true, class: classOf(p.Key)}
+		f = &flowState{halfOpen: true, deliveredAt: now, class: classOf(p.Key)}
 		a.flows[p.Key] = f
 		a.cold.recordOpening(now)
 	}
@@ -167,7 +167,8 @@
 }
 
 // RecordResponse records a packet from the host to the client; k is the flow's key
-// in the client's direction. When the packet starts a response, answer is set and
+// in the client's direction. It sets p.Delayed if p is an opening that the host had for
+// long. When the packet starts a response, answer is set and
 // took is the time since the request, or since the opening for the first request
 // of a flow.
 func (a *Admission) RecordResponse(k packet.Key, p *Packet, now int64) (took time.Duration, answer bool) {
@@ -176,6 +177,7 @@
 	a.silence.clear()
 	a.cold.hostSent(now)
 	f := a.flows[k]
+	p.Delayed = p.Flags.Has(FlagReturned) && (f == nil || time.Duration(now-f.deliveredAt) >= HostSilenceTimeout)
 	if f == nil {
 		if p.Flags&(FlagReturned|FlagRST|FlagSYN) != 0 || len(a.flows) >= maxFlows {
 			return 0, false
--- a/internal/relay/flows.go
+++ b/internal/relay/flows.go
@@ -58,6 +58,8 @@
 	// closedByHost is set when the host has closed the flow.
 	closedByHost bool
 	lastPacket   int64
+	// deliveredAt is when the opening was first delivered to the host, 0 if unknown.
+	deliveredAt int64
 	// busySince is when the flow became busy, requestAt when the client's data
 	// arrived. requestPending is set from requestAt until the response;
 	// slotWasFree is set when a slot was free at requestAt.
--- a/internal/relay/hostsilence_test.go
+++ b/internal/relay/hostsilence_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/heathergw/heathergw/internal/catalog"
 )
 
 // retransmissionGaps are the times between the transmissions of a client's packet.
@@ -120,3 +122,28 @@
 	at, _ := f.sendOpening(2)
 	f.c.Check(at, qt.Equals, only)
 }
+
+// Guards against the reset of a flow that another host accepted: a paused host returns an
+// opening whose copy was forwarded past it, when the host with the flow drains.
+func TestLateReturnOfOpeningIsNotReset(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		f := newFleet(t, targets(2)...)
+		a := f.agents[target("10.1.0.10").Host.Addr()]
+		p := Packet{Key: flowKey(1), Flags: FlagSYN, Service: []byte(a.Service)}
+		a.Admission.RecordDelivery(&p, f.now)
+		want := ActionReset
+		if late {
+			want = ActionDrop
+			f.advance(HostSilenceTimeout)
+			f.distributeView()
+			copies, _ := a.Admission.TakeUnanswered(f.now)
+			f.c.Assert(copies, qt.HasLen, 1)
+			f.c.Assert(a.HostUnresponsive(&copies[0], f.now).Action, qt.Equals, ActionForward)
+		}
+		f.put("evacuation", catalog.Record{Evacuated: "dc-2"})
+		f.distributeView()
+		p.Flags |= FlagReturned
+		a.Admission.RecordResponse(p.Key, &p, f.now)
+		f.c.Check(a.FromHost(&p, f.now).Action, qt.Equals, want, qt.Commentf("late: %v", late))
+	}
+}
