Decide again on openings held by the host's worker as on those of peers

Cause: the worker of the host also takes openings from the queue. When such an opening was held (its host refused it or its data centre was evacuated, and the route is not known yet), it was kept as a packet of the host: the replay returned it to the address of the service, and the opening was lost. The name of its service was missing as well, so that the own agent took it for one of another service.

Change: only returned packets are held as packets of the host, and FromQueue sets the service.

Test: TestOpeningHeldByHostWorkerIsForPeers. Before, fromHost was set and the service empty; after, both are right.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -23,6 +23,7 @@
 	// the short hash of the name.
 	Service     string
 	ServiceHash uint8
+	serviceName []byte // Service, for Packet.Service
 	// HostDownUntil is the time until which the agent's host is considered not
 	// running; the next packet after it is delivered to the host again.
 	HostDownUntil atomic.Int64
@@ -60,7 +61,7 @@
 	}
 	return &Agent{
 		Core: core, ID: catalog.MemberID(address), DataCentre: dataCentre,
-		Service: service, ServiceHash: catalog.ServiceHash(service),
+		Service: service, ServiceHash: catalog.ServiceHash(service), serviceName: []byte(service),
 		Admission: NewAdmission(), ownerlessSince: ownerlessSince, retries: retries, hints: hints,
 	}, nil
 }
@@ -185,6 +186,7 @@
 // search proves nothing from here on: the client may have sent further copies, which may
 // have taken other ways.
 func (a *Agent) FromQueue(p *Packet, waited time.Duration, now int64) Verdict {
+	p.Service = a.serviceName // it is not part of the datagram that waited
 	state := DecodeSearchState(p.Echo)
 	state.Inconclusive = true
 	if !a.acceptsOpenings(a.View.Load(), now) {
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -289,7 +289,8 @@
 	case relay.ActionDeliver:
 		w.deliver(p, v.State, now)
 	case relay.ActionHold:
-		w.held.add(p, w.fromHost, now)
+		// The host's worker also takes openings from the queue.
+		w.held.add(p, w.fromHost && p.Flags.Has(relay.FlagReturned), now)
 		if v.Reason == relay.ReasonUnconfirmed {
 			w.directory.Confirm(now)
 		}
