Count the openings that a cold host gets before the first view

Cause: an agent accepts openings before it has a view, and did not count them while no limit was known. With the first view the host got its full allowance for the second again: at 10 requests a second, 20 and up to 20 more.

Change: up to 1,024 openings are remembered until a view has the service. How many a host gets before the view is still not limited.

Test: TestOpeningsBeforeFirstViewCountAsCold. Before, a host with 20 openings 500 ms ago had room for 20; after, for none until the second is over.

--- a/internal/relay/coldstart.go
+++ b/internal/relay/coldstart.go
@@ -15,6 +15,10 @@
 // were 1.6 times slower for 2 s after their start.
 const recoveryTime = 2 * time.Second
 
+// maxBeforeLimit bounds the openings that are counted before the limit is known, 8 KB: a
+// host gets fewer in a second before its slots are full.
+const maxBeforeLimit = 1024
+
 // ColdLimits bound the openings of cold hosts: at most rate*Excess + Slack in any second,
 // where the rate is that of the service's configuration. An Excess of 0 counts as 1.
 type ColdLimits struct{ Excess, Slack float64 }
@@ -35,7 +39,9 @@
 	duration time.Duration
 	// limit is the number of openings in a window; 0 means no limit.
 	limit int
-	// delivered holds the times of the latest openings, at most limit of them.
+	// known is set once a view had the service. delivered holds the times of the latest
+	// openings: at most limit of them, or maxBeforeLimit before the limit is known.
+	known     bool
 	delivered []int64
 	// hostStartedAtMillis is the start of the host for which until was set.
 	hostStartedAtMillis int64
@@ -44,7 +50,7 @@
 // update takes over what the view says about the host and its service. m is nil while the
 // host is not registered.
 func (c *coldStart) update(m *catalog.Member, s *catalog.Service, limits ColdLimits, now int64) {
-	c.limit, c.duration = 0, 0
+	c.known, c.limit, c.duration = c.known || s != nil, 0, 0
 	if s != nil {
 		c.duration = s.Settings.SlowStart
 	}
@@ -101,12 +107,16 @@
 
 // recordOpening records an opening that the host gets.
 func (c *coldStart) recordOpening(now int64) {
-	if c.limit == 0 {
+	limit := c.limit
+	if !c.known {
+		limit = maxBeforeLimit
+	}
+	if limit == 0 {
 		c.delivered = nil
 		return
 	}
 	c.delivered = append(c.delivered, now)
-	if excess := len(c.delivered) - c.limit; excess > 0 {
+	if excess := len(c.delivered) - limit; excess > 0 {
 		c.delivered = append(c.delivered[:0], c.delivered[excess:]...)
 	}
 }
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -123,3 +123,21 @@
 	at, _ := f.sendOpening(302)
 	f.c.Check(at.IsValid(), qt.IsTrue, qt.Commentf("the evacuations are over"))
 }
+
+// Guards against a host that gets its allowance twice because the agent starts with it:
+// openings that arrive before the first view count, too.
+func TestOpeningsBeforeFirstViewCountAsCold(t *testing.T) {
+	c := qt.New(t)
+	a := NewAdmission()
+	now := int64(time.Hour)
+	for i := range 20 {
+		a.RecordDelivery(&Packet{Key: flowKey(i), Flags: FlagSYN}, now)
+	}
+	service := &catalog.Service{Settings: catalog.ServiceSettings{ColdRate: 10, SlowStart: 2 * time.Second}}
+	member := &catalog.Member{HostStartedAtMillis: 7, SlowStartRemaining: 2 * time.Second}
+	now += int64(500 * time.Millisecond)
+	a.SetColdStart(member, service, ColdLimits{Excess: 1.5, Slack: 5}, now)
+	c.Check(a.Room(now), qt.Equals, 0)
+	c.Check(a.Full(flowKey(99), now), qt.IsTrue)
+	c.Check(a.Full(flowKey(99), now+int64(600*time.Millisecond)), qt.IsFalse)
+}
