Bound the queue while the slots are unknown

Cause: without known slots the queue had no bound. It was not used then, since only the slots made openings wait; now the limit of a cold host does, too.

Change: at most 256 openings wait while the slots are unknown.

Test: TestBoundWithoutSlots.

--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -21,6 +21,9 @@
 	// waitingPerSlot bounds the openings for each slot: what a slot serves in the 1.4 s
 	// that clients wait, at 50 ms a request and with half of the slots taken by open flows.
 	waitingPerSlot = 16
+	// waitingWithoutSlots bounds the openings while the slots are unknown: those of 16
+	// slots. The limit of a cold host makes openings wait then, too.
+	waitingWithoutSlots = 256
 	// maxCallGap is the longest time between two calls after which a new opening is as
 	// old as it looks. A process that was paused for longer reads packets that waited in
 	// its socket, and other hosts may have got their copies.
@@ -84,7 +87,7 @@
 // Capacity is what the caller knows of its host.
 type Capacity struct {
 	// Slots is the number of requests that the host serves at once; 0 if unknown, which
-	// removes the bound on the queue and all refusals that depend on the wait.
+	// removes all refusals that depend on the wait.
 	Slots int
 	// MeanService is the mean service time of the host's requests, Handshake the time from
 	// an opening to its request; 0 if unknown.
@@ -187,7 +190,11 @@
 	q.sequence++
 	o.sequence = q.sequence
 	q.waiting = append(q.waiting, o)
-	if c.Slots == 0 || len(q.waiting) <= c.Slots*waitingPerSlot {
+	bound := c.Slots * waitingPerSlot
+	if c.Slots == 0 {
+		bound = waitingWithoutSlots
+	}
+	if len(q.waiting) <= bound {
 		return Removal{}, false
 	}
 	q.judge(c, now)
--- a/internal/waitqueue/waitqueue_test.go
+++ b/internal/waitqueue/waitqueue_test.go
@@ -247,3 +247,20 @@
 		}
 	}
 }
+
+// Guards against a queue without bound while the slots are unknown: the limit of a cold
+// host fills it as well.
+func TestBoundWithoutSlots(t *testing.T) {
+	c := qt.New(t)
+	q := New()
+	removals := 0
+	for i := range 2000 {
+		o := opening("x", 1, 0, 0)
+		o.Key.Source = netip.AddrPortFrom(o.Key.Source.Addr(), uint16(i+1))
+		if _, removed := q.Add(o, 0, Capacity{}, start); removed {
+			removals++
+		}
+	}
+	c.Check(q.Len() <= 256, qt.IsTrue, qt.Commentf("%d wait", q.Len()))
+	c.Check(q.Len()+removals, qt.Equals, 2000)
+}
