--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -23,6 +23,7 @@
 	// the short hash of the name.
 	Service     string
 	ServiceHash uint8
+	serviceName []byte // Service, for Packet.Service
 	// HostDownUntil is the time until which the agent's host is considered not
 	// running; the next packet after it is delivered to the host again.
 	HostDownUntil atomic.Int64
@@ -60,14 +61,14 @@
 	}
 	return &Agent{
 		Core: core, ID: catalog.MemberID(address), DataCentre: dataCentre,
-		Service: service, ServiceHash: catalog.ServiceHash(service),
+		Service: service, ServiceHash: catalog.ServiceHash(service), serviceName: []byte(service),
 		Admission: NewAdmission(), ownerlessSince: ownerlessSince, retries: retries, hints: hints,
 	}, nil
 }
 
 // FromPeer decides on a client's packet that another process forwarded here.
 func (a *Agent) FromPeer(p *Packet, now int64) Verdict {
-	state := DecodeSearchState(p.Echo)
+	state := p.searchState()
 	v := a.View.Load()
 	if !a.isForOwnService(p, state) {
 		// The sender's view has another service at this address. Counting the
@@ -181,9 +182,13 @@
 }
 
 // FromQueue decides on an opening that waited for a free slot. The host may have begun
-// to drain in the meantime, or its data centre may have been evacuated.
+// to drain in the meantime, or its data centre may have been evacuated. The end of the
+// search proves nothing from here on: the client may have sent further copies, which may
+// have taken other ways.
 func (a *Agent) FromQueue(p *Packet, waited time.Duration, now int64) Verdict {
+	p.Service = a.serviceName // it is not part of the datagram that waited
 	state := DecodeSearchState(p.Echo)
+	state.Inconclusive = true
 	if !a.acceptsOpenings(a.View.Load(), now) {
 		return a.redirect(p, state, now)
 	}
@@ -204,7 +209,7 @@
 	if !p.Flags.Has(FlagReturned) {
 		return Verdict{Action: ActionReturn, Reason: ReasonAnswer, To: ClientAddress(p.Key.Destination, a.ClientPort)}
 	}
-	state := DecodeSearchState(p.Echo)
+	state := p.searchState()
 	a.countHop(&state, now)
 	if state.FullSearch && !p.IsOpening() {
 		a.retries.recordLost(p, now)
--- a/internal/relay/openings.go
+++ b/internal/relay/openings.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/heathergw/heathergw/internal/cost"
@@ -26,7 +27,7 @@
 
 // mayBeElsewhere reports whether a copy of the opening may have reached a host or another
 // agent's queue: a silent host was bypassed, or the search is not sure of a host.
-func mayBeElsewhere(p *Packet) bool { return DecodeSearchState(p.Echo).Inconclusive }
+func mayBeElsewhere(p *Packet) bool { return p.searchState().Inconclusive }
 
 // Enqueue queues an opening until a slot is free or waiting is of no use; requestStart is
 // when its request began, now or earlier. When the queue exceeds its bound, the opening
@@ -70,7 +71,11 @@
 	if a.full(now) {
 		return nil, 0
 	}
-	next, ok := a.queue.Next(a.capacity(), now)
+	var capacity waitqueue.Capacity
+	if a.queue.Len() > 0 { // the learned mean is computed anew after each response
+		capacity = a.capacity()
+	}
+	next, ok := a.queue.Next(capacity, now)
 	if !ok {
 		return nil, 0
 	}
@@ -78,15 +83,15 @@
 	return next.Datagram, time.Duration(now - next.FirstSent)
 }
 
-// RemoveUseless removes the openings whose waiting is of no use. The result is valid until
-// the next call.
+// RemoveUseless removes the openings whose waiting is of no use. The result belongs to the
+// caller, since several workers call it.
 func (a *Admission) RemoveUseless(now int64) []waitqueue.Removal {
 	if a.queueLength.Load() == 0 {
 		return nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	removed := a.queue.Refuse(a.capacity(), false, now)
+	removed := slices.Clone(a.queue.Refuse(a.capacity(), false, now))
 	a.queueLength.Store(int64(a.queue.Len()))
 	return removed
 }
