--- a/internal/document/findings.go
+++ b/internal/document/findings.go
@@ -27,17 +27,20 @@
 	return "error"
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (s Severity) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
 // Finding is one problem of a document.
 type Finding struct {
-	Severity Severity
+	Severity Severity `json:"severity"`
 	// File is empty for a message that was not read from a document.
-	File string
+	File string `json:"file"`
 	// Line counts from 1; 0 when it is unknown.
-	Line int
+	Line int `json:"line"`
 	// Field is a path such as "services[1].targets[0].slots"; empty for the
 	// whole document.
-	Field   string
-	Message string
+	Field   string `json:"field"`
+	Message string `json:"message"`
 }
 
 // Error formats the finding as "file:line: field: message". A warning carries
