Add the command config check

Operators had no way to check a configuration before the processes read it. The command reports all findings with their place, compares with the current configuration, and checks bundle documents with the code of bundle check, from which documentFindings and readPredecessorFile are split off.

--- a/cmd/heathergw/bundle_files.go
+++ b/cmd/heathergw/bundle_files.go
@@ -64,7 +64,11 @@
 // readPredecessor reads the bundle of --predecessor, or returns nil without the
 // flag.
 func readPredecessor(c *cli.Command) (*bundle.Signed, error) {
-	path := c.String("predecessor")
+	return readPredecessorFile(c.String("predecessor"))
+}
+
+// readPredecessorFile returns nil for an empty path.
+func readPredecessorFile(path string) (*bundle.Signed, error) {
 	if path == "" {
 		return nil, nil
 	}
@@ -87,19 +91,28 @@
 // checkDocument reads and checks a document, prints its warnings, and returns
 // its errors with exitFindings.
 func checkDocument(c *cli.Command, path string, predecessor *bundle.Signed) (*schema.Bundle, error) {
-	b, d, findings, err := readDocument(path)
+	b, findings, err := documentFindings(path, predecessor)
 	if err != nil {
 		return nil, err
 	}
-	if len(findings) == 0 || findings[0].Field != "" {
-		findings = findings.Join(bundle.Check(b, d, predecessor))
-	}
 	if err := reportFindings(c, findings); err != nil {
 		return nil, err
 	}
 	return b, nil
 }
 
+// documentFindings reads and checks a document and returns all its findings.
+func documentFindings(path string, predecessor *bundle.Signed) (*schema.Bundle, document.Findings, error) {
+	b, d, findings, err := readDocument(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(findings) == 0 || findings[0].Field != "" {
+		findings = findings.Join(bundle.Check(b, d, predecessor))
+	}
+	return b, findings, nil
+}
+
 // reportFindings prints the warnings and returns the errors with exitFindings.
 func reportFindings(c *cli.Command, findings document.Findings) error {
 	if warnings := findings.Warnings(); len(warnings) > 0 {
--- a/cmd/heathergw/bundle_test.go
+++ b/cmd/heathergw/bundle_test.go
@@ -21,16 +21,21 @@
 
 func newCommandRunner(t *testing.T) *commandRunner { return &commandRunner{qt.New(t), t.TempDir()} }
 
-// run replaces "@" in the arguments with the directory. It returns the output,
-// followed by the error text, and the exit code.
+// run runs a bundle command; see runGroup.
 func (r *commandRunner) run(command string) (output string, code int) {
+	return r.runGroup(bundleCommand(), command)
+}
+
+// runGroup runs a command of a group. It replaces "@" in the arguments with the
+// directory. It returns the output, followed by the error text, and the exit code.
+func (r *commandRunner) runGroup(group *cli.Command, command string) (output string, code int) {
 	var out bytes.Buffer
 	root := &cli.Command{
-		Name: "heathergw", Commands: []*cli.Command{bundleCommand()}, Writer: &out, ErrWriter: &out,
+		Name: "heathergw", Commands: []*cli.Command{group}, Writer: &out, ErrWriter: &out,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 	args := strings.Fields(strings.ReplaceAll(command, "@", r.dir+"/"))
-	err := root.Run(context.Background(), append([]string{"heathergw", "bundle"}, args...))
+	err := root.Run(context.Background(), append([]string{"heathergw", group.Name}, args...))
 	if err == nil {
 		return out.String(), 0
 	}
--- a/cmd/heathergw/main.go
+++ b/cmd/heathergw/main.go
@@ -51,6 +51,7 @@
 			entryCommand(),
 			agentCommand(),
 			bundleCommand(),
+			configCommand(),
 			demoCommand(),
 			statusCommand(),
 			versionCommand(),
--- a/cmd/heathergw/main_test.go
+++ b/cmd/heathergw/main_test.go
@@ -57,6 +57,7 @@
 	}{
 		{"version", []string{"version"}, 0},
 		{"unknown command", []string{"fly"}, exitUsage},
+		{"unknown command of a group", []string{"config", "fly"}, exitUsage},
 		{"unknown flag", []string{"entry", "--fly"}, exitUsage},
 		{"no --config flag", []string{"entry"}, exitUsage},
 		{"settings file missing", []string{"entry", "--config", "nowhere.jsonc"}, exitUsage},
