--- a/internal/waitqueue/waitqueue_test.go
+++ b/internal/waitqueue/waitqueue_test.go
@@ -266,6 +266,7 @@
 	_, ok := q.NextForPeer(host, at(200*ms))
 	c.Check(ok, qt.IsFalse)
 	c.Check(q.Len(), qt.Equals, 1)
+}
 
 // Guards against a queue without bound while the slots are unknown: the limit of a cold
 // host fills it as well.
