Give openings without a known route the lowest priority

Test: TestOpeningWithoutRouteIsNotUrgent. Before, the opening without a route came first; after, the one with priority 1.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -79,6 +79,9 @@
 	RequestPolicy
 }
 
+// LowestPriority is the priority of requests for which the configuration gives none.
+const LowestPriority = 255
+
 // RequestPolicy is what a configuration says about the requests of a route. The zero
 // value says nothing: no priority over others and no limits.
 type RequestPolicy struct {
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -487,3 +487,18 @@
 		f.c.Check(a.FromPeer(&p, f.now).Action, qt.Equals, want, qt.Commentf("agent, delayed: %v", delayed))
 	}
 }
+
+// Guards against openings that count as the most urgent because the route is not known yet.
+func TestOpeningWithoutRouteIsNotUrgent(t *testing.T) {
+	f := newFleet(t, targets(1)...)
+	f.put("configuration", catalog.Record{Configuration: &catalog.Configuration{Version: 2, Routes: []catalog.Route{{
+		Name: "r", Destination: destination, Services: []catalog.WeightedService{{Service: "booking", Weight: 1}},
+		RequestPolicy: catalog.RequestPolicy{Priority: 1, TargetLatency: time.Second},
+	}}}})
+	a := NewAdmission()
+	a.Enqueue(&Packet{Key: flowKey(0), Flags: FlagSYN, Datagram: []byte{0}}, f.now, f.now)
+	a.SetRoutes(f.view())
+	a.Enqueue(&Packet{Key: flowKey(1), Flags: FlagSYN, Datagram: []byte{1}}, f.now, f.now)
+	datagram, _ := a.Dequeue(f.now)
+	f.c.Check(datagram, qt.DeepEquals, []byte{1})
+}
--- a/internal/relay/openings.go
+++ b/internal/relay/openings.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/heathergw/heathergw/internal/catalog"
 	"github.com/heathergw/heathergw/internal/cost"
 	"github.com/heathergw/heathergw/internal/waitqueue"
 )
@@ -16,11 +17,11 @@
 // policyOf returns what the configuration says about the requests of an opening.
 func (a *Admission) policyOf(p *Packet) waitqueue.Policy {
 	if a.routes == nil {
-		return waitqueue.Policy{}
+		return waitqueue.Policy{Priority: catalog.LowestPriority}
 	}
 	route := a.routes.Route(p.Key.Destination)
 	if route == nil {
-		return waitqueue.Policy{}
+		return waitqueue.Policy{Priority: catalog.LowestPriority}
 	}
 	return waitqueue.Policy{Priority: route.Priority, TargetLatency: route.TargetLatency, Timeout: route.Timeout}
 }
