Limit cold hosts whose registration has no start time

Cause: the field with the start of a host is optional and reads as 0, which is also the initial value of the agent. A host registered without it never counted as cold, whatever remained of its slow start.

Change: a remaining time that is longer than that of the former registration counts as another start, too.

Test: case "registered without a start time" of TestColdHostGetsLimitedOpenings.

--- a/internal/relay/coldstart.go
+++ b/internal/relay/coldstart.go
@@ -43,8 +43,10 @@
 	// openings: at most limit of them, or maxBeforeLimit before the limit is known.
 	known     bool
 	delivered []int64
-	// hostStartedAtMillis is the start of the host for which until was set.
+	// hostStartedAtMillis and remaining are the start of the host and its remaining slow
+	// start by the latest registration.
 	hostStartedAtMillis int64
+	remaining           time.Duration
 }
 
 // update takes over what the view says about the host and its service. m is nil while the
@@ -61,11 +63,16 @@
 		}
 		c.limit = max(int(s.Settings.ColdRate*excess+limits.Slack), 1)
 	}
-	if m != nil && m.HostStartedAtMillis != c.hostStartedAtMillis {
+	if m == nil {
+		return
+	}
+	// A registration may lack the start. The remaining time grows only by another start.
+	if m.HostStartedAtMillis != c.hostStartedAtMillis || m.SlowStartRemaining > c.remaining {
 		// The time that the registration took is not known, so the host may be cold for
 		// less than this.
-		c.hostStartedAtMillis, c.until = m.HostStartedAtMillis, now+int64(m.SlowStartRemaining)
+		c.until = now + int64(m.SlowStartRemaining)
 	}
+	c.hostStartedAtMillis, c.remaining = m.HostStartedAtMillis, m.SlowStartRemaining
 }
 
 // hostDown records that the host is not running; it is cold when it is back.
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -26,6 +26,7 @@
 		limited time.Duration
 	}{
 		{"registered as cold", &catalog.Member{HostStartedAtMillis: 7, SlowStartRemaining: 1500 * time.Millisecond}, 10, false, 1500 * time.Millisecond},
+		{"registered without a start time", &catalog.Member{SlowStartRemaining: 1500 * time.Millisecond}, 10, false, 1500 * time.Millisecond},
 		{"warm", &catalog.Member{HostStartedAtMillis: 7}, 10, false, 0},
 		{"no rate", &catalog.Member{HostStartedAtMillis: 7, SlowStartRemaining: time.Second}, 0, false, 0},
 		{"went down and is not registered again", nil, 10, true, 2 * time.Second},
