Share waiting openings between agents

Cause: openings wait at one host while another host of the service has a free slot. The hash fills the hosts unevenly, and hosts differ in speed.

Change: an agent whose openings wait sends an offer to up to 8 members, an agent whose host has room pulls openings from the longest wait, and the offering agent forwards them, best first. Package worksharing decides, the exchange carries the messages without touching peers or positions, and a goroutine of the agent sends and receives them beside the packet path. Only openings of routes with a target latency are shared. A pulled opening carries how long it has waited; otherwise it outlives its client.

An opening that waited 100 ms or longer and that all hosts refuse is dropped, not reset, because a copy of it may run elsewhere; the same holds behind a silent host. A stale view no longer marks openings, so that their resets stay.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -24,6 +24,7 @@
 	"github.com/heathergw/heathergw/internal/logging"
 	"github.com/heathergw/heathergw/internal/node"
 	"github.com/heathergw/heathergw/internal/wire"
+	"github.com/heathergw/heathergw/internal/worksharing"
 )
 
 const (
@@ -85,6 +86,10 @@
 	OnSilentReport func(ids []uint32)
 	// OnLeaving is called when a peer announces that it exits; it may be nil.
 	OnLeaving func(peer netip.Addr)
+	// OnOffer and OnPull are called with the offers and pulls of waiting openings from
+	// other agents; both are nil in an entry.
+	OnOffer func(peer netip.Addr, o worksharing.Offer)
+	OnPull  func(peer netip.Addr, p worksharing.Pull)
 }
 
 // Update is what a directory passes to the packet path after it received data.
--- a/internal/exchange/heartbeat.go
+++ b/internal/exchange/heartbeat.go
@@ -232,18 +232,27 @@
 // sendAll sends m to each peer. A datagram that cannot be sent is treated as
 // lost: the next heartbeat repeats its content.
 func (d *Directory) sendAll(m *schema.Exchange, recipients []netip.Addr) {
-	if m == nil || len(recipients) == 0 || d.leaving.Load() && !m.GetLeaving() {
-		return
+	if m != nil {
+		d.counters.heartbeatsSent.Inc(d.transmit(m, recipients))
+	}
+}
+
+// transmit sends m to each recipient and returns the number of datagrams sent. A process
+// that has announced its exit sends nothing else.
+func (d *Directory) transmit(m *schema.Exchange, recipients []netip.Addr) (sent int64) {
+	if len(recipients) == 0 || d.leaving.Load() && !m.GetLeaving() {
+		return 0
 	}
 	datagram, err := proto.Marshal(m)
 	if err != nil {
-		d.log.Error("cannot encode heartbeat", zap.Error(err))
-		return
+		d.log.Error("cannot encode message to peers", zap.Error(err))
+		return 0
 	}
 	port := d.settings.Listen.Port()
 	for _, address := range recipients {
 		if err := d.socket.WriteTo(datagram, netip.AddrPortFrom(address, port)); err == nil {
-			d.counters.heartbeatsSent.Inc(1)
+			sent++
 		}
 	}
+	return sent
 }
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -36,6 +36,9 @@
 		}
 		return
 	}
+	if d.handleWork(&m, from) {
+		return
+	}
 	d.counters.heartbeatsReceived.Inc(1)
 	if m.GetLeaving() {
 		d.forgetLeaving(from)
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -371,7 +371,7 @@
 			return nil // retransmission of a queued opening
 		}
 	}
-	age := int64(openingAge(p.Attempt()))
+	age := int64(p.age())
 	w := queuedOpening{key: p.Key, datagram: append([]byte(nil), p.Datagram...), firstSent: now - age, requestStart: min(requestStart, now-age)}
 	at, _ := slices.BinarySearchFunc(a.queue, w.requestStart+1, func(x queuedOpening, requestStart int64) int { return cmp.Compare(x.requestStart, requestStart) })
 	a.queue = slices.Insert(a.queue, at, w)
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -36,6 +36,8 @@
 	retries *retryTracker
 	// hints holds the members to which openings were forwarded.
 	hints *ownerHints
+	// sharing offers waiting openings to other agents and pulls theirs.
+	sharing *workSharing
 }
 
 // maxOwnerlessFlows bounds the flows that wait for a reset: those of one host
@@ -61,6 +63,7 @@
 		Core: core, ID: catalog.MemberID(address), DataCentre: dataCentre,
 		Service: service, ServiceHash: catalog.ServiceHash(service),
 		Admission: NewAdmission(), ownerlessSince: ownerlessSince, retries: retries, hints: hints,
+		sharing: newWorkSharing(dataCentre),
 	}, nil
 }
 
@@ -72,7 +75,7 @@
 		// The sender's view has another service at this address. Counting the
 		// hop stops a loop between two agents with such views.
 		a.countHop(&state, now)
-		state.Inconclusive = true
+		state.Inconclusive = state.Inconclusive || !p.IsOpening()
 		verdict := a.forwardNext(p, state, now)
 		if verdict.Action == ActionForward {
 			verdict.Reason = ReasonOtherService
@@ -103,6 +106,7 @@
 		_, verdict := a.lookupRoute(v, p, now)
 		return verdict
 	}
+	a.recordArrival(state, now)
 	if p.Attempt() == 0 {
 		a.hints.forget(p.Key, now) // of an earlier flow with the same addresses and ports
 	} else if verdict, ok := a.followOwnerHint(p, state, now); ok {
@@ -144,9 +148,9 @@
 
 // redirectOrQueue decides on an opening when the own host has no free slot. It
 // forwards the opening to another candidate, or queues it here when enough
-// candidates were tried or none is left.
+// candidates were tried, none is left, or openings that wait here are offered to them.
 func (a *Agent) redirectOrQueue(p *Packet, state SearchState, now int64) Verdict {
-	if state.Hops < maxBusyRedirects {
+	if state.Hops < maxBusyRedirects && !a.waitsForPull(p.Key) {
 		if v := a.redirect(p, state, now); v.Action == ActionForward {
 			v.Reason = ReasonHostBusy
 			return v
@@ -184,6 +188,7 @@
 func (a *Agent) FromQueue(p *Packet, waited time.Duration, now int64) Verdict {
 	state := DecodeSearchState(p.Echo)
 	if !a.acceptsOpenings(a.View.Load(), now) {
+		state.Inconclusive = state.Inconclusive || waited >= copyMargin
 		return a.redirect(p, state, now)
 	}
 	return Verdict{Action: ActionDeliver, Reason: ReasonSlotFree, State: state, Waited: waited}
@@ -214,6 +219,9 @@
 // Enqueue queues an opening until the host has a free slot. When the queue exceeds
 // its limit, it drops the oldest opening and returns its datagram, otherwise nil.
 func (a *Agent) Enqueue(p *Packet, now int64) (dropped []byte) {
+	if !a.Admission.anyWaits() {
+		a.sharing.firstWaits.Store(true)
+	}
 	return a.Admission.Enqueue(p, a.retries.requestStart(p, now), now)
 }
 
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -85,6 +85,7 @@
 	ReasonSlotFree         Reason = "slot_free"
 	ReasonDuplicate        Reason = "copy_for_doubtful_member"
 	ReasonOwnerHint        Reason = "owner_hint"
+	ReasonWorkShared       Reason = "work_shared"
 )
 
 // Reasons lists all reasons.
@@ -92,7 +93,7 @@
 	ReasonFirstCandidate, ReasonForwarded, ReasonOwnHost, ReasonAnswer, ReasonNoView, ReasonNoRoute, ReasonStaleNoRoute,
 	ReasonNoTarget, ReasonNoOwner, ReasonAllRefused, ReasonSearchIncomplete, ReasonUnconfirmed,
 	ReasonSenderNewerView, ReasonHostBusy, ReasonHostEjected, ReasonHostSilent, ReasonOpenedElsewhere, ReasonOtherService, ReasonQueueFull, ReasonSlotFree, ReasonDuplicate,
-	ReasonOwnerHint,
+	ReasonOwnerHint, ReasonWorkShared,
 }
 
 // Verdict is the decision on one packet.
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"net/netip"
+	"time"
 
 	"github.com/heathergw/heathergw/internal/packet"
 )
@@ -44,6 +45,9 @@
 	// Service is the name of the service that a forwarded opening is for; it is not
 	// part of Datagram. Other packets have none.
 	Service []byte
+	// Waited is the time since the client sent the first attempt of an opening that
+	// waited at another agent; 0 for other packets.
+	Waited time.Duration
 }
 
 // IsOpening reports whether the packet opens a flow (SYN without ACK).
@@ -51,6 +55,9 @@
 	return p.Flags.Has(FlagSYN) && !p.Flags.Has(FlagACK)
 }
 
+// age returns the time since the client sent the first attempt of an opening, at least.
+func (p *Packet) age() time.Duration { return max(openingAge(p.Attempt()), p.Waited) }
+
 // Attempt returns the number of the attempt of an opening, 0 for the first one.
 // Clients count retransmissions of openings in the acknowledgment field.
 func (p *Packet) Attempt() int { return int(p.Acknowledgment) }
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -21,8 +21,9 @@
 		return verdict
 	}
 	state.mergePosition(v.At)
-	// A stale view may lack a member between this one and the next.
-	state.Inconclusive = state.Inconclusive || !a.viewFresh(now)
+	// A stale view may lack a member between this one and the next, which may have the
+	// flow but not an opening that it never got.
+	state.Inconclusive = state.Inconclusive || !p.IsOpening() && !a.viewFresh(now)
 	verdict = Verdict{Action: ActionForward, Reason: ReasonForwarded, State: state}
 	m := a.nextCandidate(v, route, p, &verdict, now)
 	if m == nil {
@@ -147,12 +148,13 @@
 
 // endSearch decides on a packet that no candidate accepted. The first attempt of
 // an opening is reset, because no host accepted it. A retransmission is dropped,
-// because a host may have accepted an earlier attempt.
+// because a host may have accepted an earlier attempt, and so is an opening that waited
+// until a copy may have been sent or that passed a silent host.
 func (a *Agent) endSearch(p *Packet, state SearchState, now int64) Verdict {
 	switch {
 	case p.Flags.Has(FlagRST):
 		return drop(ReasonNoOwner)
-	case p.IsOpening() && p.Attempt() > 0:
+	case p.IsOpening() && (p.Attempt() > 0 || state.Inconclusive):
 		return drop(ReasonAllRefused)
 	case p.IsOpening():
 		return a.reset(p, ReasonAllRefused)
--- a/internal/relaynode/process.go
+++ b/internal/relaynode/process.go
@@ -90,8 +90,10 @@
 	unconfirmed    *unconfirmedPackets
 	// onView is called with each new view; nil in an entry.
 	onView func(*catalog.View)
-	// background runs beside the workers until its context is cancelled; nil in an entry.
-	background func(context.Context) error
+	// background runs beside the workers until its context is cancelled; empty in an entry.
+	background []func(context.Context) error
+	// sharing is nil in an entry.
+	sharing *workSharing
 
 	// viewSource is the origin of the current view; see exchange.Update.
 	viewSource atomic.Pointer[string]
@@ -156,7 +158,7 @@
 	}
 	port := p.packetSocket.Address().Port()
 	p.core = relay.NewCore(port)
-	p.directory, err = exchange.New(exchange.Settings{
+	exchangeSettings := exchange.Settings{
 		Listen:         listen,
 		Entry:          p.settings.GetEntry() != nil,
 		Seeds:          seedHosts(p.settings),
@@ -165,7 +167,12 @@
 		SilentMembers:  p.silentMembers,
 		OnSilentReport: p.recordSilentReport,
 		OnLeaving:      func(peer netip.Addr) { p.core.Reach.RecordLeft(catalog.MemberID(peer)) },
-	}, p.adapter.Decode, func() *configstore.Store { return configstore.NewStore(client, p.adapter.Store) }, p.log, p.metrics.Scope, p.applyUpdate, p.recordHeartbeat)
+	}
+	if p.settings.GetAgent() != nil {
+		p.sharing = newWorkSharing(p.metrics.Scope)
+		exchangeSettings.OnOffer, exchangeSettings.OnPull = p.sharing.onOffer, p.sharing.onPull
+	}
+	p.directory, err = exchange.New(exchangeSettings, p.adapter.Decode, func() *configstore.Store { return configstore.NewStore(client, p.adapter.Store) }, p.log, p.metrics.Scope, p.applyUpdate, p.recordHeartbeat)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -292,8 +299,8 @@
 	again := r.copy()
 	node.AddActor(&group, stopped, stop, func(c context.Context) error { return p.replayUnconfirmed(c, again) })
 	node.AddActor(&group, stopped, stop, p.watchSettings)
-	if p.background != nil {
-		node.AddActor(&group, stopped, stop, p.background)
+	for _, run := range p.background {
+		node.AddActor(&group, stopped, stop, run)
 	}
 	node.AddActor(&group, stopped, stop, p.serve(p.readyListener, http.HandlerFunc(p.serveReady)))
 	if p.statusListener != nil {
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -102,7 +102,10 @@
 	// decideRefused returns the verdict on a packet whose delivery to the host
 	// failed with ECONNREFUSED.
 	decideRefused func(p *relay.Packet, now int64) relay.Verdict
-	fromHost      bool
+	// holdsOffers reports whether other agents offer openings; nil unless packets of the
+	// host arrive here.
+	holdsOffers func() bool
+	fromHost    bool
 	// replays is how often the packet at hand was decided on before.
 	replays int
 }
@@ -143,7 +146,9 @@
 		}
 		return
 	}
-	p.Service = service
+	if len(service) > 0 {
+		p.Service, p.Waited = relay.SplitWaited(service)
+	}
 	if fromPeer && relay.DecodeSearchState(p.Echo).Probe {
 		w.directory.SendHeartbeat(from)
 	}
@@ -156,6 +161,9 @@
 	w.execute(p, w.decide(p, now), now)
 	if w.admission != nil {
 		w.admit(now)
+		if w.holdsOffers != nil && w.holdsOffers() {
+			w.sharing.notify()
+		}
 		w.recordHealth()
 		w.recordHostSilence()
 	}
@@ -222,7 +230,7 @@
 	switch v.Action {
 	case relay.ActionForward:
 		w.adapter.Packets.SetEcho(p.Datagram, v.State.Encode())
-		w.out.Add(w.appendForwarded(w.out.Next(), p, v.Member), v.To)
+		w.out.Add(w.appendForwarded(w.out.Next(), p, &v), v.To)
 		if v.DuplicateToHost {
 			w.deliver(p, v.DuplicateState(), now)
 		}
@@ -232,6 +240,9 @@
 		if dropped := w.enqueue(p, now); dropped != nil && w.adapter.Packets.Parse(dropped, p) == nil {
 			w.execute(p, relay.Verdict{Action: relay.ActionDrop, Reason: relay.ReasonQueueFull}, now)
 		}
+		if w.sharing != nil {
+			w.sharing.notify()
+		}
 	case relay.ActionReset:
 		w.out.Add(w.adapter.Packets.AppendReset(w.out.Next(), p), v.To)
 	case relay.ActionDeliver:
@@ -245,15 +256,6 @@
 	}
 }
 
-// appendForwarded appends a packet for the agent of a member.
-func (w *worker) appendForwarded(dst []byte, p *relay.Packet, m *catalog.Member) []byte {
-	dst = append(dst, p.Datagram...)
-	if p.IsOpening() {
-		dst = w.adapter.Packets.AppendService(dst, m.Service.Name)
-	}
-	return dst
-}
-
 // bypassHost forwards the packets that the host takes and does not respond to.
 func (w *worker) bypassHost(ctx context.Context, decide func(p *relay.Packet, now int64) relay.Verdict) error {
 	for {
@@ -419,9 +421,13 @@
 	host := &worker{
 		process: a.process, in: a.hostSocket, out: wire.NewWriteQueue(a.packetSocket, batchSize), hostConn: a.hostConn,
 		admission: a.decisions.Admission, enqueue: a.decisions.Enqueue, decideQueued: a.decisions.FromQueue, decide: a.decisions.FromHost, decideRefused: a.decisions.HostRefused, fromHost: true,
+		holdsOffers: a.decisions.HoldsOffers,
 	}
 	defer func() { _ = a.hostConn.Close() }() // a datagram socket has no pending data to lose
-	bypass := peers.copy()
-	a.background = func(c context.Context) error { return bypass.bypassHost(c, a.decisions.HostUnresponsive) }
+	bypass, share := peers.copy(), peers.copy()
+	a.background = []func(context.Context) error{
+		func(c context.Context) error { return bypass.bypassHost(c, a.decisions.HostUnresponsive) },
+		func(c context.Context) error { return a.shareWork(c, share) },
+	}
 	return a.run(ctx, replayWorkers{network: peers.copy(), host: host.copy()}, peers, host)
 }
