--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -38,6 +38,8 @@
 	retries *retryTracker
 	// hints holds the members to which openings were forwarded.
 	hints *ownerHints
+	// sharing offers waiting openings to other agents and pulls theirs.
+	sharing *workSharing
 }
 
 // maxOwnerlessFlows bounds the flows that wait for a reset: those of one host
@@ -63,6 +65,7 @@
 		Core: core, ID: catalog.MemberID(address), DataCentre: dataCentre,
 		Service: service, ServiceHash: catalog.ServiceHash(service), serviceName: []byte(service),
 		Admission: NewAdmission(), ownerlessSince: ownerlessSince, retries: retries, hints: hints,
+		sharing: newWorkSharing(dataCentre),
 	}, nil
 }
 
@@ -74,7 +77,7 @@
 		// The sender's view has another service at this address. Counting the
 		// hop stops a loop between two agents with such views.
 		a.countHop(&state, now)
-		state.Inconclusive = true
+		state.Inconclusive = state.Inconclusive || !p.IsOpening()
 		verdict := a.forwardNext(p, state, now)
 		if verdict.Action == ActionForward {
 			verdict.Reason = ReasonOtherService
@@ -105,6 +108,7 @@
 		_, verdict := a.lookupRoute(v, p, now)
 		return verdict
 	}
+	a.recordArrival(state, now)
 	if p.Attempt() == 0 {
 		a.hints.forget(p.Key, now) // of an earlier flow with the same addresses and ports
 	} else if verdict, ok := a.followOwnerHint(p, state, now); ok {
@@ -146,9 +150,9 @@
 
 // redirectOrQueue decides on an opening when the own host has no free slot. It
 // forwards the opening to another candidate, or queues it here when enough
-// candidates were tried or none is left.
+// candidates were tried, none is left, or openings that wait here are offered to them.
 func (a *Agent) redirectOrQueue(p *Packet, state SearchState, now int64) Verdict {
-	if state.Hops < maxBusyRedirects {
+	if state.Hops < maxBusyRedirects && !a.waitsForPull(p.Key) {
 		if v := a.redirect(p, state, now); v.Action == ActionForward {
 			v.Reason = ReasonHostBusy
 			return v
@@ -219,6 +223,9 @@
 
 // Enqueue queues an opening until the host has a free slot; see Admission.Enqueue.
 func (a *Agent) Enqueue(p *Packet, now int64) *waitqueue.Removal {
+	if a.Admission.Waiting() == 0 {
+		a.sharing.firstWaits.Store(true)
+	}
 	return a.Admission.Enqueue(p, a.retries.requestStart(p, now), now)
 }
 
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -88,6 +88,7 @@
 	ReasonSlotFree         Reason = "slot_free"
 	ReasonDuplicate        Reason = "copy_for_doubtful_member"
 	ReasonOwnerHint        Reason = "owner_hint"
+	ReasonWorkShared       Reason = "work_shared"
 )
 
 // Reasons lists all reasons.
@@ -95,7 +96,7 @@
 	ReasonFirstCandidate, ReasonForwarded, ReasonOwnHost, ReasonAnswer, ReasonNoView, ReasonNoRoute, ReasonStaleNoRoute,
 	ReasonNoTarget, ReasonNoOwner, ReasonAllRefused, ReasonSearchIncomplete, ReasonUnconfirmed,
 	ReasonSenderNewerView, ReasonHostBusy, ReasonHostEjected, ReasonHostSilent, ReasonOpenedElsewhere, ReasonOtherService, ReasonQueueFull, ReasonAttemptOver, ReasonPastTimeout, ReasonOverflow, ReasonSlotFree, ReasonDuplicate,
-	ReasonOwnerHint,
+	ReasonOwnerHint, ReasonWorkShared,
 }
 
 // Verdict is the decision on one packet.
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -122,6 +122,9 @@
 		core.View.Store(v)
 		core.AsOf.Store(f.now)
 	}
+	for _, a := range f.agents {
+		a.Admission.SetRoutes(v)
+	}
 }
 
 func (f *fleet) cores() []*Core {
--- a/internal/relay/openings.go
+++ b/internal/relay/openings.go
@@ -39,7 +39,7 @@
 	a.recordStart(now)
 	o := waitqueue.Opening{
 		Key: p.Key, Datagram: p.Datagram, Policy: a.policyOf(p),
-		Service: a.expectedService(classOf(p.Key)), RequestStart: requestStart, Left: mayBeElsewhere(p),
+		Service: a.expectedService(classOf(p.Key)), RequestStart: requestStart, FirstSent: now - int64(p.Waited), Left: mayBeElsewhere(p),
 	}
 	removed, ok := a.queue.Add(o, p.Attempt(), a.capacity(), now)
 	a.queueLength.Store(int64(a.queue.Len()))
--- a/internal/relay/packet.go
+++ b/internal/relay/packet.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"net/netip"
+	"time"
 
 	"github.com/heathergw/heathergw/internal/packet"
 )
@@ -47,6 +48,9 @@
 	// Delayed is set if this process or its host had the packet for so long that the
 	// client may have sent further copies, which may have taken other ways.
 	Delayed bool
+	// Waited is the time since the client sent the first attempt of an opening that
+	// waited at another agent; 0 for other packets.
+	Waited time.Duration
 }
 
 // IsOpening reports whether the packet opens a flow (SYN without ACK).
--- a/internal/relaynode/process.go
+++ b/internal/relaynode/process.go
@@ -91,8 +91,10 @@
 	unconfirmed    *unconfirmedPackets
 	// onView is called with each new view; nil in an entry.
 	onView func(*catalog.View)
-	// background functions run beside the workers until their context is cancelled.
+	// background runs beside the workers until its context is cancelled; empty in an entry.
 	background []func(context.Context) error
+	// sharing is nil in an entry.
+	sharing *workSharing
 
 	// viewSource is the origin of the current view; see exchange.Update.
 	viewSource atomic.Pointer[string]
@@ -157,7 +159,7 @@
 	}
 	port := p.packetSocket.Address().Port()
 	p.core = relay.NewCore(port)
-	p.directory, err = exchange.New(exchange.Settings{
+	exchangeSettings := exchange.Settings{
 		Listen:         listen,
 		Entry:          p.settings.GetEntry() != nil,
 		Seeds:          seedHosts(p.settings),
@@ -166,7 +168,12 @@
 		SilentMembers:  p.silentMembers,
 		OnSilentReport: p.recordSilentReport,
 		OnLeaving:      func(peer netip.Addr) { p.core.Reach.RecordLeft(catalog.MemberID(peer)) },
-	}, p.adapter.Decode, func() *configstore.Store { return configstore.NewStore(client, p.adapter.Store) }, p.log, p.metrics.Scope, p.applyUpdate, p.recordHeartbeat)
+	}
+	if p.settings.GetAgent() != nil {
+		p.sharing = newWorkSharing(p.metrics.Scope)
+		exchangeSettings.OnOffer, exchangeSettings.OnPull = p.sharing.onOffer, p.sharing.onPull
+	}
+	p.directory, err = exchange.New(exchangeSettings, p.adapter.Decode, func() *configstore.Store { return configstore.NewStore(client, p.adapter.Store) }, p.log, p.metrics.Scope, p.applyUpdate, p.recordHeartbeat)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -66,7 +66,8 @@
 	Policy   Policy
 	// Service is the expected service time of the request; 0 means the mean of the host.
 	Service time.Duration
-	// FirstSent is when the client sent the first attempt; Add sets it.
+	// FirstSent is when the client sent the first attempt; Add sets it unless it is known
+	// to be earlier than the attempt shows.
 	FirstSent int64
 	// RequestStart is when the request began, possibly on an earlier flow. Later times
 	// than FirstSent, and 0, count as FirstSent.
@@ -170,7 +171,9 @@
 // returns it with ok set.
 func (q *Queue) Add(o Opening, attempt int, c Capacity, now int64) (removed Removal, ok bool) {
 	q.observe(now)
-	o.FirstSent = now - int64(AttemptAge(attempt))
+	if sent := now - int64(AttemptAge(attempt)); o.FirstSent == 0 || o.FirstSent > sent {
+		o.FirstSent = sent
+	}
 	if o.RequestStart == 0 || o.RequestStart > o.FirstSent {
 		o.RequestStart = o.FirstSent
 	}
