Refuse at once what would wait too long, and empty the queue of a host that is down

Openings that waited at a host that crashed stayed there until their clients gave up, since its lost requests kept the slots busy for 5 s.

Change: an opening whose answer would take more than half of its target is refused at once, the least urgent first, if no other agent has taken an opening for 30 ms; its client returns after 85 ms, mostly to another host. The budget is four times what the slots serve. The flows of a host that is down are forgotten, and the openings that wait there are forwarded, as for a host that drains.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -185,6 +185,15 @@
 	return m == nil || !m.Evacuated && (m.State == catalog.Ready || m.State == catalog.Lapsed)
 }
 
+// NextWaiting removes the waiting opening that is next; see Admission.Dequeue. When the
+// own host gets no openings any more, all of them are due, to be forwarded.
+func (a *Agent) NextWaiting(now int64) (datagram []byte, waited time.Duration) {
+	if a.Admission.Waiting() > 0 && !a.acceptsOpenings(a.View.Load(), now) {
+		return a.Admission.TakeWaiting(now)
+	}
+	return a.Admission.Dequeue(now)
+}
+
 // FromQueue decides on an opening that waited for a free slot. The host may have begun
 // to drain in the meantime, or its data centre may have been evacuated. The end of the
 // search proves nothing from here on: the client may have sent further copies, which may
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -142,3 +142,25 @@
 	c.Check(a.Full(flowKey(99), now), qt.IsTrue)
 	c.Check(a.Full(flowKey(99), now+int64(600*time.Millisecond)), qt.IsFalse)
 }
+
+// TestOpeningsLeaveAHostThatIsDown guards against openings that wait at a host that is gone
+// until their clients give up: the requests that it had kept its slots busy for 5 s.
+func TestOpeningsLeaveAHostThatIsDown(t *testing.T) {
+	f := newFleet(t, targets(2)...)
+	a := f.agents[netip.MustParseAddr("10.1.0.10")]
+	a.Admission.SetSlots(1)
+	client := 0
+	for ; !a.Admission.Full(flowKey(client), f.now); client++ {
+		a.Admission.RecordDelivery(&Packet{Key: flowKey(client), Flags: FlagSYN}, f.now)
+		a.Admission.RecordDelivery(&Packet{Key: flowKey(client), Flags: FlagACK, Length: 1}, f.now)
+	}
+	waiting := Packet{Key: flowKey(client), Flags: FlagSYN, Datagram: []byte{1}}
+	a.Enqueue(&waiting, f.now)
+	datagram, _ := a.NextWaiting(f.now)
+	f.c.Check(datagram, qt.IsNil, qt.Commentf("no slot is free"))
+	a.HostRefused(&Packet{Key: flowKey(0), Flags: FlagACK, Length: 1}, f.now)
+	datagram, waited := a.NextWaiting(f.now)
+	f.c.Assert(datagram, qt.DeepEquals, []byte{1})
+	f.c.Check(a.FromQueue(&waiting, waited, f.now).Action, qt.Equals, ActionForward)
+	f.c.Check(a.Admission.Busy(), qt.Equals, 0, qt.Commentf("the flows of the host are gone"))
+}
--- a/internal/relay/hosthealth.go
+++ b/internal/relay/hosthealth.go
@@ -22,7 +22,8 @@
 	return (freeSlot || a.health.State() == outlier.Healthy) && a.health.Admit(now)
 }
 
-// RecordHostDown records that nothing listens at the host's address.
+// RecordHostDown records that nothing listens at the host's address. Its flows are gone:
+// their requests occupy no slots any more.
 func (a *Admission) RecordHostDown(now int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -31,6 +32,10 @@
 	if a.pendingRequests > 0 {
 		a.health.Crashed(now)
 	}
+	for k, f := range a.flows {
+		a.learn(f, false, now)
+		a.forget(k, f, now)
+	}
 }
 
 // HealthChanges returns the changes of the host's health since the last call.
--- a/internal/relaynode/heldpackets_test.go
+++ b/internal/relaynode/heldpackets_test.go
@@ -62,7 +62,7 @@
 	agent.Admission.SetSlots(1)
 	w := &worker{
 		process: p, out: wire.NewWriteQueue(p.packetSocket, batchSize), admission: agent.Admission,
-		enqueue: agent.Enqueue, decideQueued: agent.FromQueue, fromHost: true,
+		enqueue: agent.Enqueue, nextWaiting: agent.NextWaiting, decideQueued: agent.FromQueue, fromHost: true,
 	}
 	sent := platformtest.Packet{Flags: platformtest.SYN, Src: packetFor(c, p, "127.4.3.1:9000").Src, Dst: testDestination}
 	c.Assert(p.adapter.Packets.Parse(sent.Encode(), &w.packet), qt.IsNil)
--- a/internal/relaynode/malformed_test.go
+++ b/internal/relaynode/malformed_test.go
@@ -69,7 +69,7 @@
 	w[1].decide, w[2].decide = agent.decisions.FromPeer, agent.decisions.FromHost
 	w[2].fromHost = true
 	for _, x := range w[1:] {
-		x.hostConn, x.admission, x.enqueue, x.decideRefused = agent.hostConn, agent.decisions.Admission, agent.decisions.Enqueue, agent.decisions.HostRefused
+		x.hostConn, x.admission, x.enqueue, x.nextWaiting, x.decideRefused = agent.hostConn, agent.decisions.Admission, agent.decisions.Enqueue, agent.decisions.NextWaiting, agent.decisions.HostRefused
 	}
 	return w
 }
--- a/internal/relaynode/worker.go
+++ b/internal/relaynode/worker.go
@@ -106,6 +106,8 @@
 	enqueue func(p *relay.Packet, now int64) *waitqueue.Removal
 	// decide returns the role's verdict on a packet from this socket.
 	decide func(p *relay.Packet, now int64) relay.Verdict
+	// nextWaiting removes the opening that is due from the queue.
+	nextWaiting func(now int64) (datagram []byte, waited time.Duration)
 	// decideQueued returns the verdict on an opening that waited for a free slot.
 	decideQueued func(p *relay.Packet, waited time.Duration, now int64) relay.Verdict
 	// decideRefused returns the verdict on a packet whose delivery to the host
@@ -209,9 +211,10 @@
 	w.log.Info("host sends packets again", address)
 }
 
-// admit delivers queued openings while the host has free slots.
+// admit delivers queued openings while the host has free slots, or forwards them when it
+// gets no openings any more.
 func (w *worker) admit(now int64) {
-	for datagram, waited := w.admission.Dequeue(now); datagram != nil; datagram, waited = w.admission.Dequeue(now) {
+	for datagram, waited := w.nextWaiting(now); datagram != nil; datagram, waited = w.nextWaiting(now) {
 		w.counters.queueTime.RecordDuration(waited)
 		if err := w.adapter.Packets.Parse(datagram, &w.packet); err != nil {
 			continue // it was parsed before it was queued
@@ -470,11 +473,11 @@
 func (a *Agent) Run(ctx context.Context) error {
 	peers := &worker{
 		process: a.process, in: a.packetSocket, out: wire.NewWriteQueue(a.packetSocket, batchSize), hostConn: a.hostConn,
-		admission: a.decisions.Admission, enqueue: a.decisions.Enqueue, decideQueued: a.decisions.FromQueue, decide: a.decisions.FromPeer, decideRefused: a.decisions.HostRefused,
+		admission: a.decisions.Admission, enqueue: a.decisions.Enqueue, nextWaiting: a.decisions.NextWaiting, decideQueued: a.decisions.FromQueue, decide: a.decisions.FromPeer, decideRefused: a.decisions.HostRefused,
 	}
 	host := &worker{
 		process: a.process, in: a.hostSocket, out: wire.NewWriteQueue(a.packetSocket, batchSize), hostConn: a.hostConn,
-		admission: a.decisions.Admission, enqueue: a.decisions.Enqueue, decideQueued: a.decisions.FromQueue, decide: a.decisions.FromHost, decideRefused: a.decisions.HostRefused, fromHost: true,
+		admission: a.decisions.Admission, enqueue: a.decisions.Enqueue, nextWaiting: a.decisions.NextWaiting, decideQueued: a.decisions.FromQueue, decide: a.decisions.FromHost, decideRefused: a.decisions.HostRefused, fromHost: true,
 		holdsOffers: a.decisions.HoldsOffers,
 	}
 	defer func() { _ = a.hostConn.Close() }() // a datagram socket has no pending data to lose
--- a/internal/relaynode/worker_test.go
+++ b/internal/relaynode/worker_test.go
@@ -79,7 +79,7 @@
 	agent, err := relay.NewAgent(p.core, netip.MustParseAddr("10.1.0.10"), "dc-1", "booking")
 	c.Assert(err, qt.IsNil)
 	agent.Admission.SetSlots(1)
-	w := &worker{process: p, hostConn: hostConn, admission: agent.Admission, enqueue: agent.Enqueue, decideQueued: agent.FromQueue}
+	w := &worker{process: p, hostConn: hostConn, admission: agent.Admission, enqueue: agent.Enqueue, nextWaiting: agent.NextWaiting, decideQueued: agent.FromQueue}
 	const queueCapacity = 16 // openings that may wait for one slot
 	for i := range queueCapacity + 1 {
 		sent := platformtest.Packet{
--- a/internal/waitqueue/order.go
+++ b/internal/waitqueue/order.go
@@ -26,7 +26,7 @@
 // slots of requests that could be in time. After a restart most openings are such, and the
 // newest are the least likely to be late already. The margin covers the spread of the service times
 // and half a request that waits at the host.
-var defaultRules = rules{oldestFirst: true, serviceMargin: 2, maxTargetShare: 1, budgetFactor: 1}
+var defaultRules = rules{oldestFirst: true, serviceMargin: 2, maxTargetShare: 0.5, budgetFactor: 4}
 
 // turnsOfUrgent is the number of turns in a row that a waiting priority leaves to more
 // urgent ones: it gets one of eight, so that it does not starve.
--- a/internal/waitqueue/refuse.go
+++ b/internal/waitqueue/refuse.go
@@ -28,10 +28,9 @@
 
 // Refuse removes the openings whose waiting is of no use, and returns them: those whose
 // client has given up or whose time-out would be missed, and, with refuseOverflow, those
-// that would wait longer than their target allows. Set refuseOverflow only when other
-// hosts have not taken the openings that they were offered. In the model test it makes more
-// requests fail and no more be in time; see docs/design/waiting-openings.md. The result is
-// valid until the next call.
+// that would wait for so long that their client had better try another host. Set
+// refuseOverflow only when other hosts have not taken the openings that they were offered.
+// The result is valid until the next call.
 func (q *Queue) Refuse(c Capacity, refuseOverflow bool, now int64) []Removal {
 	q.observe(now)
 	if len(q.waiting) == 0 || now-q.lastRefusal < int64(refuseInterval) {
@@ -42,6 +41,10 @@
 	q.removed = q.removed[:0]
 	q.judge(c, now)
 	slices.SortFunc(q.waiting, func(x, y Opening) int { return q.compare(&x, &y) })
+	leastUrgent := 0
+	for i := range q.waiting {
+		leastUrgent = max(leastUrgent, q.waiting[i].Policy.Priority)
+	}
 	kept := 0
 	for i := range q.waiting {
 		w := &q.waiting[i]
@@ -59,7 +62,7 @@
 				}
 				removal.Refuse = true
 			}
-		case refuseOverflow && q.overflows(w, kept, c, now) && w.truthful(now) && q.spend(c, now):
+		case refuseOverflow && q.overflows(w, kept, leastUrgent, c, now) && w.truthful(now) && q.spend(c, now):
 			removal.Reason, removal.Refuse = Overflow, true
 		default:
 			q.waiting[kept] = *w
@@ -73,9 +76,10 @@
 	return q.removed
 }
 
-// overflows reports whether an opening with the given number of others before it would be
-// answered too late while its client has time for another attempt.
-func (q *Queue) overflows(o *Opening, before int, c Capacity, now int64) bool {
+// overflows reports whether an opening with the given number of others before it would wait
+// too long while its client has time for another attempt. As long as less urgent ones wait
+// they are refused in its place, unless it would miss its target.
+func (q *Queue) overflows(o *Opening, before, leastUrgent int, c Capacity, now int64) bool {
 	target := o.Policy.TargetLatency
 	if c.Slots == 0 || !o.canTryAgain(now) {
 		return false
@@ -83,7 +87,11 @@
 	waited := time.Duration(now - o.RequestStart)
 	wait := time.Duration(before+1) * c.MeanService / time.Duration(c.Slots)
 	answered := waited + wait + c.Handshake + o.service(c)
-	return answered > time.Duration(q.rules.maxTargetShare*float64(target))
+	share := q.rules.maxTargetShare
+	if o.Policy.Priority < leastUrgent {
+		share = max(share, 1)
+	}
+	return answered > time.Duration(share*float64(target))
 }
 
 // canTryAgain reports whether the client has time for another attempt within its target.
--- a/internal/waitqueue/waitqueue_test.go
+++ b/internal/waitqueue/waitqueue_test.go
@@ -134,7 +134,7 @@
 // budget holds half a second of what the slots serve.
 func TestBoundAndBudget(t *testing.T) {
 	c := qt.New(t)
-	q := New()
+	q := newQueue(rules{budgetFactor: 1})
 	tick(q, -100*ms, 0)
 	var refused, dropped int
 	for i := range 3 * waitingPerSlot {
@@ -193,10 +193,10 @@
 		setup func(m *model)
 	}{
 		{"current", func(m *model) { m.current = true }},
-		{"chosen", func(*model) {}},
+		{"chosen", with(func(*rules) {}, true)},
 		{"bound", func(m *model) { m.exact = true }},
-		{"chosen, half known", func(m *model) { m.startsKnown = 0.5 }},
-		{"chosen, all known", func(m *model) { m.startsKnown = 1 }},
+		{"chosen, half known", func(m *model) { m.refuseOverflow, m.startsKnown = true, 0.5 }},
+		{"chosen, all known", func(m *model) { m.refuseOverflow, m.startsKnown = true, 1 }},
 		{"current, half known", func(m *model) { m.current, m.startsKnown = true, 0.5 }},
 		{"newest", with(func(r *rules) { r.oldestFirst = false }, false)},
 		{"oldest, refusal at 1", with(func(r *rules) {}, true)},
@@ -205,6 +205,10 @@
 		{"oldest, refusal, budget 2", with(func(r *rules) { r.budgetFactor = 2 }, true)},
 		{"newest, refusal at 1", with(func(r *rules) { r.oldestFirst = false }, true)},
 		{"newest, refusal at 0.5", with(func(r *rules) { r.oldestFirst, r.maxTargetShare = false, 0.5 }, true)},
+		{"newest, refusal at 0.4, budget 4", with(func(r *rules) { r.oldestFirst, r.maxTargetShare, r.budgetFactor = false, 0.4, 4 }, true)},
+		{"newest, refusal at 0.5, budget 4", with(func(r *rules) { r.oldestFirst, r.maxTargetShare, r.budgetFactor = false, 0.5, 4 }, true)},
+		{"newest, refusal at 0.6, budget 4", with(func(r *rules) { r.oldestFirst, r.maxTargetShare, r.budgetFactor = false, 0.6, 4 }, true)},
+		{"oldest, refusal at 0.5, budget 4", with(func(r *rules) { r.oldestFirst, r.maxTargetShare, r.budgetFactor = true, 0.5, 4 }, true)},
 		{"oldest, margin 1", with(func(r *rules) { r.serviceMargin = 1 }, false)},
 		{"oldest, margin 3", with(func(r *rules) { r.serviceMargin = 3 }, false)},
 	}
