Decide on the refusal of each opening by its own wait

Cause: refusals waited until no opening had been pulled for 30 ms.

Change: an opening that nobody took 30 ms after it arrived may be refused.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -24,8 +24,6 @@
 	// silence detects that the host sends nothing.
 	silence hostSilence
 	queue   *waitqueue.Queue
-	// waitingSince is when openings began to wait, lastPulled when another agent took one.
-	waitingSince, lastPulled int64
 	// started is set with the first opening or packet.
 	started bool
 	// queueLength is the length of queue. It is also read without mu, since it is
--- a/internal/relay/openings.go
+++ b/internal/relay/openings.go
@@ -37,9 +37,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.recordStart(now)
-	if a.queue.Len() == 0 {
-		a.waitingSince = now
-	}
 	o := waitqueue.Opening{
 		Key: p.Key, Datagram: p.Datagram, Policy: a.policyOf(p),
 		Service: a.expectedService(classOf(p.Key)), RequestStart: requestStart, FirstSent: now - int64(p.Waited), Left: mayBeElsewhere(p),
@@ -100,11 +97,6 @@
 	return next.Datagram, time.Duration(now - next.FirstSent)
 }
 
-// offerTime is how long waiting openings are offered to other agents until the lack of a
-// pull shows that no host has a free slot: the round trips of an offer and its pull between
-// data centres of 5 ms each, and scheduling.
-const offerTime = 30 * time.Millisecond
-
 // RemoveUseless removes the openings whose waiting is of no use. The result belongs to the
 // caller, since several workers call it.
 func (a *Admission) RemoveUseless(now int64) []waitqueue.Removal {
@@ -113,8 +105,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	untaken := now-max(a.waitingSince, a.lastPulled) >= int64(offerTime)
-	removed := slices.Clone(a.queue.Refuse(a.capacity(), untaken, now))
+	removed := slices.Clone(a.queue.Refuse(a.capacity(), true, now))
 	a.queueLength.Store(int64(a.queue.Len()))
 	return removed
 }
--- a/internal/relay/worksharing.go
+++ b/internal/relay/worksharing.go
@@ -260,7 +260,6 @@
 	if !ok {
 		return nil, 0
 	}
-	a.lastPulled = now
 	return o.Datagram, time.Duration(now - o.FirstSent)
 }
 
--- a/internal/waitqueue/refuse.go
+++ b/internal/waitqueue/refuse.go
@@ -17,6 +17,10 @@
 	// be served is refused. A client that is refused later has too little time left for
 	// another attempt, whose opening takes a slot all the same.
 	retryShare = 0.25
+	// offerTime is how long an opening is offered to other hosts until the lack of a taker
+	// shows that none has a free slot: the round trips of an offer and its answer between
+	// data centres of 5 ms each, and scheduling.
+	offerTime = 30 * time.Millisecond
 	// refuseInterval is the time between examinations of the queue, which sort it.
 	refuseInterval = 5 * time.Millisecond
 	// minRefusals is the lowest rate of refusals a second, for hosts whose requests take
@@ -28,9 +32,8 @@
 
 // Refuse removes the openings whose waiting is of no use, and returns them: those whose
 // client has given up or whose time-out would be missed, and, with refuseOverflow, those
-// that would wait for so long that their client had better try another host. Set
-// refuseOverflow only when other hosts have not taken the openings that they were offered.
-// The result is valid until the next call.
+// that would wait for so long that their client had better try another host. The result is
+// valid until the next call.
 func (q *Queue) Refuse(c Capacity, refuseOverflow bool, now int64) []Removal {
 	q.observe(now)
 	if len(q.waiting) == 0 || now-q.lastRefusal < int64(refuseInterval) {
@@ -81,7 +84,7 @@
 // they are refused in its place, unless it would miss its target.
 func (q *Queue) overflows(o *Opening, before, leastUrgent int, c Capacity, now int64) bool {
 	target := o.Policy.TargetLatency
-	if c.Slots == 0 || !o.canTryAgain(now) {
+	if c.Slots == 0 || !o.canTryAgain(now) || now-o.arrivedAt < int64(offerTime) {
 		return false
 	}
 	waited := time.Duration(now - o.RequestStart)
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -76,6 +76,8 @@
 	// that its client must not be told that nothing ran.
 	Left bool
 
+	// arrivedAt is when the first copy arrived here.
+	arrivedAt int64
 	// copies is the set of attempts that arrived, one bit each.
 	copies uint8
 	// ageUncertain is set if a copy may have waited in the socket of a paused process.
@@ -177,6 +179,7 @@
 	if o.RequestStart == 0 || o.RequestStart > o.FirstSent {
 		o.RequestStart = o.FirstSent
 	}
+	o.arrivedAt = now
 	o.copies = 1 << min(max(attempt, 0), maxAttempt)
 	// Clients send no attempt beyond the last; what else they sent is not known.
 	o.Left = o.Left || attempt < 0 || attempt > maxAttempt
