Name the room for pulls apart from the host's room

Change: roomForPull and openingsLeft. No change of behaviour.

Measured: go test ./internal/relay ./internal/relaynode passes.

--- a/internal/relay/worksharing.go
+++ b/internal/relay/worksharing.go
@@ -128,7 +128,7 @@
 	if !a.HoldsOffers() {
 		return nil
 	}
-	room := a.room(now)
+	room := a.roomForPull(now)
 	s := a.sharing
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,8 +140,8 @@
 	return requests
 }
 
-// room returns the number of openings that the host can take from other agents.
-func (a *Agent) room(now int64) int {
+// roomForPull returns the number of openings that the host can take from other agents.
+func (a *Agent) roomForPull(now int64) int {
 	v := a.View.Load()
 	if v == nil || !a.acceptsOpenings(v, now) {
 		return 0
@@ -149,7 +149,7 @@
 	if m := v.Member(a.ID, a.Service); m == nil || !eligible(m, true, false) {
 		return 0
 	}
-	return a.Admission.room(now)
+	return a.Admission.roomForPull(now)
 }
 
 // recordArrival records that an opening arrived that may have been pulled.
@@ -282,10 +282,10 @@
 	return nil, 0
 }
 
-// room returns the number of openings that the host can take from other agents: none
+// roomForPull returns the number of openings that the host can take from other agents: none
 // while openings wait here, while its slots are unknown, or while it is ejected, on trial
 // or silent.
-func (a *Admission) room(now int64) int {
+func (a *Admission) roomForPull(now int64) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sweep(now)
@@ -293,12 +293,12 @@
 	if a.slots == 0 || len(a.queue) > 0 || a.silence.silent(now) || a.health.State() != outlier.Healthy || a.full(now) {
 		return 0
 	}
-	return min(a.busyLimit()-a.busy, a.cold.room(now))
+	return min(a.busyLimit()-a.busy, a.cold.openingsLeft(now))
 }
 
-// room returns the number of openings that a cold host may still get in the current
-// window.
-func (c *coldStart) room(now int64) int {
+// openingsLeft returns the number of openings that a cold host may still get in the
+// current window.
+func (c *coldStart) openingsLeft(now int64) int {
 	if c.limit == 0 || now >= c.until {
 		return math.MaxInt
 	}
