--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -164,3 +164,23 @@
 	f.c.Check(a.FromQueue(&waiting, waited, f.now).Action, qt.Equals, ActionForward)
 	f.c.Check(a.Admission.Busy(), qt.Equals, 0, qt.Commentf("the flows of the host are gone"))
 }
+
+// TestOpeningsOfAFailedHostAreSpread guards against openings that all go to the first member
+// of the search order when they were passed on several times and their host is down: its
+// queue was full while other hosts had room.
+func TestOpeningsOfAFailedHostAreSpread(t *testing.T) {
+	f := newFleet(t, targets(20)...)
+	a := f.agents[netip.MustParseAddr("10.1.0.10")]
+	counts := map[uint32]int{}
+	const openings = 200
+	for client := range openings {
+		p := Packet{Key: flowKey(client), Flags: FlagSYN, Echo: SearchState{Hops: maxBusyRedirects, Service: a.ServiceHash}.Encode()}
+		if v := a.HostRefused(&p, f.now); v.Action == ActionForward {
+			counts[v.Member.ID]++
+		}
+	}
+	for id, n := range counts {
+		f.c.Check(n <= openings/4, qt.IsTrue, qt.Commentf("%d of %d at %s", n, openings, catalog.MemberAddress(id)))
+	}
+	f.c.Check(len(counts) >= 10, qt.IsTrue, qt.Commentf("%d members", len(counts)))
+}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -45,6 +45,11 @@
 // added later.
 const leadingCandidates = 4
 
+// leadingForOpenings is the same for openings. The search order begins with the same member
+// for all flows, so that openings which busy or failed hosts pass on would meet there. With
+// a fifth of the hosts crashed, 16 candidates are all crashed once in 10^11 openings.
+const leadingForOpenings = 16
+
 // nextCandidate returns the candidate that gets the packet after this agent, or
 // nil when all have been visited. The leading candidates come first, then all
 // members in the route's search order, so that a full search crosses few links.
@@ -55,7 +60,11 @@
 	if verdict.State.FullSearch {
 		return a.nextInSearchOrder(members[catalog.IndexAfter(members, a.DataCentre, a.ID):], p, verdict, now)
 	}
-	if verdict.State.Hops < leadingCandidates {
+	leading := leadingCandidates
+	if p.IsOpening() {
+		leading = leadingForOpenings
+	}
+	if verdict.State.Hops < leading {
 		if m := a.nextByRank(v, route, p, verdict, now); m != nil {
 			return m
 		}
