Refuse behind openings that nobody took

Cause: each opening had to wait 30 ms before a refusal, which left a client with a target of 250 to 400 ms little time for another attempt.

Change: 15 ms, and none behind an opening that nobody took in that time: other hosts get the best openings first, so none of them has a free slot.

--- a/internal/waitqueue/refuse.go
+++ b/internal/waitqueue/refuse.go
@@ -20,7 +20,7 @@
 	// offerTime is how long an opening is offered to other hosts until the lack of a taker
 	// shows that none has a free slot: the round trips of an offer and its answer between
 	// data centres of 5 ms each, and scheduling.
-	offerTime = 30 * time.Millisecond
+	offerTime = 15 * time.Millisecond
 	// refuseInterval is the time between examinations of the queue, which sort it.
 	refuseInterval = 5 * time.Millisecond
 	// minRefusals is the lowest rate of refusals a second, for hosts whose requests take
@@ -49,6 +49,7 @@
 		leastUrgent = max(leastUrgent, q.waiting[i].Policy.Priority)
 	}
 	kept := 0
+	untaken := false // an opening that other hosts prefer was not taken
 	for i := range q.waiting {
 		w := &q.waiting[i]
 		removal := Removal{Opening: *w}
@@ -65,9 +66,10 @@
 				}
 				removal.Refuse = true
 			}
-		case refuseOverflow && q.overflows(w, kept, leastUrgent, c, now) && w.truthful(now) && q.spend(c, now):
+		case refuseOverflow && (untaken || w.offered(now)) && q.overflows(w, kept, leastUrgent, c, now) && w.truthful(now) && q.spend(c, now):
 			removal.Reason, removal.Refuse = Overflow, true
 		default:
+			untaken = untaken || w.Policy.TargetLatency > 0 && w.offered(now)
 			q.waiting[kept] = *w
 			kept++
 			continue
@@ -84,7 +86,7 @@
 // they are refused in its place, unless it would miss its target.
 func (q *Queue) overflows(o *Opening, before, leastUrgent int, c Capacity, now int64) bool {
 	target := o.Policy.TargetLatency
-	if c.Slots == 0 || !o.canTryAgain(now) || now-o.arrivedAt < int64(offerTime) {
+	if c.Slots == 0 || !o.canTryAgain(now) {
 		return false
 	}
 	waited := time.Duration(now - o.RequestStart)
@@ -97,6 +99,9 @@
 	return answered > time.Duration(share*float64(target))
 }
 
+// offered reports whether other hosts had the time to take the opening.
+func (o *Opening) offered(now int64) bool { return now-o.arrivedAt >= int64(offerTime) }
+
 // canTryAgain reports whether the client has time for another attempt within its target.
 func (o *Opening) canTryAgain(now int64) bool {
 	return o.Policy.TargetLatency > 0 && now-o.RequestStart <= int64(retryShare*float64(o.Policy.TargetLatency))
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -275,7 +275,7 @@
 
 // AnyOffered reports whether an opening waits that no other host took for offerTime.
 func (q *Queue) AnyOffered(now int64) bool {
-	return slices.ContainsFunc(q.waiting, func(w Opening) bool { return now-w.arrivedAt >= int64(offerTime) })
+	return slices.ContainsFunc(q.waiting, func(w Opening) bool { return w.offered(now) })
 }
 
 // AnyInTime reports whether an opening waits that can be answered within its target.
