Pass on to the puller that a copy of an opening may run

Cause: the queue withholds the refusal of an opening that was held before it began to wait, or that may have waited in the socket of a paused process. On a pull only the echo and the time since its arrival were passed on. The agent that pulled it took it for a new opening and refused it, although another host may have accepted a copy.

Change: TakeForPull returns whether a host may have a copy, and ForPull then marks the search as inconclusive.

Test: TestPulledOpeningIsNotRefusedAfterDelay. With ForPull reading only the echo, as before, the held opening and that of the paused process are refused; now neither is, and an opening without a delay still is.

--- a/internal/relay/sharing_model_test.go
+++ b/internal/relay/sharing_model_test.go
@@ -244,12 +244,13 @@
 		if fault != "" {
 			return
 		}
-		b, waited := offering.TakeForPull(s.now)
+		b, waited, delayed := offering.TakeForPull(s.now)
 		if b == nil {
 			return
 		}
 		s.pulled++
 		p := parseModelled(b)
+		p.Delayed = delayed
 		s.carryOut(at, &p, offering.ForPull(&p, m, waited, s.now))
 	}
 }
--- a/internal/relay/worksharing.go
+++ b/internal/relay/worksharing.go
@@ -184,16 +184,16 @@
 }
 
 // TakeForPull removes the best waiting opening that can be sent on a pull. It returns its
-// datagram, or nil, and the time since its first attempt was sent. Whoever calls it
-// forwards the datagram as ForPull decides.
-func (a *Agent) TakeForPull(now int64) (datagram []byte, waited time.Duration) {
+// datagram, or nil, the time since its first attempt was sent, and the value of
+// Packet.Delayed. Whoever calls it forwards the datagram as ForPull decides.
+func (a *Agent) TakeForPull(now int64) (datagram []byte, waited time.Duration, delayed bool) {
 	return a.Admission.takeForPeer(now)
 }
 
 // ForPull forwards an opening that waited to the member that pulled it. It waits there if
 // the host is full by then, and a search that returns it visits all members.
 func (a *Agent) ForPull(p *Packet, m *catalog.Member, waited time.Duration, now int64) Verdict {
-	state := DecodeSearchState(p.Echo)
+	state := p.searchState()
 	state.Hops, state.FullSearch = max(state.Hops, maxBusyRedirects), false
 	state.Inconclusive = state.Inconclusive || waited >= copyMargin
 	state.Service, state.Probe = a.ServiceHash, a.Reach.Probe(m.ID, now)
@@ -251,16 +251,16 @@
 }
 
 // takeForPeer removes the waiting opening that another host should get first and returns it
-// like Dequeue.
-func (a *Admission) takeForPeer(now int64) (datagram []byte, waited time.Duration) {
+// like Dequeue. delayed is set if the datagram does not show that a host may have a copy.
+func (a *Admission) takeForPeer(now int64) (datagram []byte, waited time.Duration, delayed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	o, ok := a.queue.NextForPeer(a.capacity(), now)
 	a.queueLength.Store(int64(a.queue.Len()))
 	if !ok {
-		return nil, 0
+		return nil, 0, false
 	}
-	return o.Datagram, time.Duration(now - o.FirstSent)
+	return o.Datagram, time.Duration(now - o.FirstSent), o.MayHaveCopies()
 }
 
 // roomForPeers returns the number of openings that the host can take from other agents:
--- a/internal/relay/worksharing_test.go
+++ b/internal/relay/worksharing_test.go
@@ -257,6 +257,77 @@
 	s.c.Check(waited, qt.Equals, time.Duration(0))
 }
 
+// newRefusalModel returns a model whose agents refuse each opening that waits and of which
+// no host may have a copy: the requests take longer than their time-out. The service time
+// is unknown to the agent that offers.
+func newRefusalModel(t *testing.T, hosts int) (s *sharingModel, offering *Agent) {
+	s = newSharingModel(newFleet(t, targets(hosts)...), 1, sharingAim)
+	s.put("configuration", catalog.Record{Configuration: &catalog.Configuration{Version: 3, Routes: []catalog.Route{{
+		Name: "r", Destination: destination, Services: []catalog.WeightedService{{Service: "booking", Weight: 1}},
+		RequestPolicy: catalog.RequestPolicy{TargetLatency: sharingAim, Timeout: 300 * time.Millisecond},
+	}}}})
+	s.distributeView()
+	offering = s.agents[targets(hosts)[0].Host.Addr()]
+	for _, a := range s.agents {
+		a.Admission.SetRoutes(s.view())
+		if a != offering {
+			a.Admission.serviceTime = movingAverage(time.Second)
+		}
+	}
+	return s, offering
+}
+
+// keepAwake advances the time while all agents look at their queues, as a process does that
+// is not paused.
+func (s *sharingModel) keepAwake(d time.Duration) {
+	for end := s.now + int64(d); s.now < end; s.now += int64(10 * time.Millisecond) {
+		for _, a := range s.agents {
+			a.Admission.Dequeue(s.now)
+		}
+	}
+}
+
+// refuses reports whether an agent refuses an opening once it waits there.
+func (s *sharingModel) refuses(a *Agent, p *Packet) bool {
+	a.Enqueue(p, s.now)
+	removed := a.Admission.RemoveUseless(s.now)
+	return len(removed) == 1 && removed[0].Refuse
+}
+
+// TestPulledOpeningIsNotRefusedAfterDelay guards against a refusal by the agent that pulled
+// an opening: the agent that offered it held it or was paused, and a copy may have reached
+// another host in the meantime.
+func TestPulledOpeningIsNotRefusedAfterDelay(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		paused, held   bool
+		refusedAtOther bool
+	}{
+		{name: "no delay", refusedAtOther: true},
+		{name: "offering agent held it", held: true},
+		{name: "offering agent was paused", paused: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, offering := newRefusalModel(t, 2)
+			other := s.agents[targets(2)[1].Host.Addr()]
+			s.keepAwake(200 * time.Millisecond)
+			if test.paused {
+				delete(s.agents, targets(2)[0].Host.Addr())
+				s.keepAwake(500 * time.Millisecond)
+			}
+			p := Packet{Key: flowKey(1), Flags: FlagSYN, Datagram: []byte{0}, Delayed: test.held}
+			offering.Enqueue(&p, s.now)
+			b, waited, delayed := offering.TakeForPull(s.now)
+			s.c.Assert(b, qt.IsNotNil)
+			m := s.view().Member(other.ID, "booking")
+			p = Packet{Key: flowKey(1), Flags: FlagSYN, Delayed: delayed}
+			v := offering.ForPull(&p, m, waited, s.now)
+			pulled := Packet{Key: flowKey(1), Flags: FlagSYN, Echo: v.State.Encode(), Waited: v.Waited}
+			s.c.Check(s.refuses(other, &pulled), qt.Equals, test.refusedAtOther)
+		})
+	}
+}
+
 // playLoad plays 10 s of openings on 12 hosts at a share of their capacity, and returns the
 // share of the requests that are answered within sharingAim, and the messages that an agent
 // sends in a second.
--- a/internal/relaynode/worksharing.go
+++ b/internal/relaynode/worksharing.go
@@ -146,13 +146,14 @@
 		return
 	}
 	for range e.pull.Room {
-		datagram, waited := a.decisions.TakeForPull(now)
+		datagram, waited, delayed := a.decisions.TakeForPull(now)
 		if datagram == nil {
 			break
 		}
 		if err := a.adapter.Packets.Parse(datagram, &w.packet); err != nil {
 			continue // it was parsed before it was queued
 		}
+		w.packet.Delayed = delayed
 		w.execute(&w.packet, a.decisions.ForPull(&w.packet, m, waited, now), now)
 	}
 	w.out.Flush()
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -258,6 +258,10 @@
 	return q.remove(best), true
 }
 
+// MayHaveCopies reports whether a host may have got another copy of the opening, which a
+// later age and set of copies need not show.
+func (o *Opening) MayHaveCopies() bool { return o.Left || o.ageUncertain }
+
 // shareable reports whether NextForPeer may return the opening; see judge.
 func (o *Opening) shareable() bool { return o.Policy.TargetLatency > 0 && o.standing < useless }
 
