Do not refuse pulled openings that the puller passes on

Cause: only a pull carries the time that an opening waited. If the agent that pulled it passed it on, because its host was down or returned the opening, the next agent took it for a new one and refused it up to 200 ms after the client sent it, while a copy was under way and could be accepted by another host.

Change: an opening that waited elsewhere is passed on with its search marked as inconclusive. The agent that pulled it may still refuse it itself.

Test: TestPulledOpeningIsNotRefusedElsewhere. Before, the next agent refused the opening after a host that is down and after one that returned it; now neither.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -74,6 +74,8 @@
 // FromPeer decides on a client's packet that another process forwarded here.
 func (a *Agent) FromPeer(p *Packet, now int64) Verdict {
 	state := p.searchState()
+	// The time that an opening waited is lost when it goes on from here.
+	state.Inconclusive = state.Inconclusive || p.Waited > 0
 	v := a.View.Load()
 	if !a.isForOwnService(p, state) {
 		// The sender's view has another service at this address. Counting the
--- a/internal/relay/worksharing_test.go
+++ b/internal/relay/worksharing_test.go
@@ -328,6 +328,43 @@
 	}
 }
 
+// TestPulledOpeningIsNotRefusedElsewhere guards against a refusal, or a reset at the end of
+// the search, by an agent that gets an opening from the one that pulled it and does not know
+// how long it waited before: its copies are under way by then.
+func TestPulledOpeningIsNotRefusedElsewhere(t *testing.T) {
+	const waited = copyMargin - time.Millisecond
+	for _, test := range []struct {
+		name string
+		// pass returns what the agent that pulled the opening decides in the end.
+		pass func(a *Agent, p *Packet, now int64) Verdict
+	}{
+		{"host returns it", func(a *Agent, p *Packet, now int64) Verdict {
+			p.Echo = a.FromPeer(p, now).State.Encode()
+			return a.FromHost(&Packet{Key: p.Key, Flags: FlagSYN | FlagReturned, Echo: p.Echo}, now)
+		}},
+		{"host is down", func(a *Agent, p *Packet, now int64) Verdict {
+			a.HostRefused(&Packet{Key: flowKey(2), Flags: FlagACK}, now)
+			return a.FromPeer(p, now)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, _ := newRefusalModel(t, 3)
+			s.keepAwake(200 * time.Millisecond)
+			for _, target := range targets(3)[1:] {
+				pulled := Packet{Key: flowKey(1), Flags: FlagSYN, Service: []byte("booking"), Waited: waited}
+				v := test.pass(s.agents[target.Host.Addr()], &pulled, s.now)
+				if v.Action != ActionForward {
+					s.c.Check(v.Action, qt.Equals, ActionDrop)
+					continue
+				}
+				next := s.agents[v.To.Addr()]
+				next.Admission.serviceTime = movingAverage(time.Second)
+				s.c.Check(s.refuses(next, &Packet{Key: flowKey(1), Flags: FlagSYN, Echo: v.State.Encode()}), qt.IsFalse)
+			}
+		})
+	}
+}
+
 // playLoad plays 10 s of openings on 12 hosts at a share of their capacity, and returns the
 // share of the requests that are answered within sharingAim, and the messages that an agent
 // sends in a second.
