Use up no trial of a host for an opening that it gets anyway

Cause: since openings of ejected hosts wait after three redirects, the health of the host is asked for each opening. On a route without a target latency such an opening is delivered whatever the answer, and the answer used up the trial of the interval. The next opening went to another host.

Change: the health is asked only if the opening can go elsewhere or wait.

Test: TestForcedOpeningUsesNoTrial. Before, the opening after the delivered one was passed on as host_ejected; now the host gets it.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -124,7 +124,9 @@
 	if a.Admission.HostSilentFor(p, now) {
 		return a.bypassSilentHost(p, state, now)
 	}
-	if !a.Admission.Healthy(p.Key, now) {
+	// Whether the host is healthy is asked only if it matters: the answer may use up a trial.
+	avoidable := state.Hops < maxBusyRedirects || v != nil && a.offersWork(v, p.Key)
+	if avoidable && !a.Admission.Healthy(p.Key, now) {
 		if v, ok := a.avoidEjectedHost(v, p, state, now); ok {
 			return v
 		}
--- a/internal/relay/worksharing_test.go
+++ b/internal/relay/worksharing_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/heathergw/heathergw/internal/catalog"
+	"github.com/heathergw/heathergw/internal/outlier"
 	"github.com/heathergw/heathergw/internal/waitqueue"
 	"github.com/heathergw/heathergw/internal/worksharing"
 )
@@ -416,3 +417,23 @@
 		}
 	}
 }
+
+// TestForcedOpeningUsesNoTrial guards against a change for routes without a target latency:
+// an opening that a host on trial gets after three redirects uses up the trial, and the
+// opening that would show that the host is back goes elsewhere.
+func TestForcedOpeningUsesNoTrial(t *testing.T) {
+	f := newFleet(t, targets(6)...)
+	a := f.agents[targets(6)[0].Host.Addr()]
+	for range 10 {
+		a.Admission.health.Failed(f.now)
+	}
+	f.c.Assert(a.Admission.health.State(), qt.Equals, outlier.Ejected)
+	f.advance(time.Minute) // longer than the ejection
+	f.distributeView()
+	opening := func(client, hops int) Verdict {
+		state := SearchState{Hops: hops, Service: a.ServiceHash}
+		return a.FromPeer(&Packet{Key: flowKey(client), Flags: FlagSYN, Service: []byte("booking"), Echo: state.Encode()}, f.now)
+	}
+	f.c.Check(opening(1, maxBusyRedirects).Action, qt.Equals, ActionDeliver)
+	f.c.Check(opening(2, 0).Reason, qt.Equals, ReasonOwnHost)
+}
