Do not take a host for down that has sent a packet since

Cause: a refused datagram is reported to a later write. While one worker had the report and had not recorded it, another worker could open a flow at the restarted host. The record then marked the host as down after its answer: its flow was forgotten, and for up to 200 ms packets of it were treated as returned, so that the search ended with a reset of an open flow.

Change: a refusal does not count if the host has sent a packet since the time of the batch in which it was reported. The packet at hand goes on with its search marked as inconclusive.

Test: TestLateRefusalResetsNoFlow. Before, both the packet at hand and the next packet of the new flow were answered by a reset; now the first one is dropped, the second one goes to the host, and a host without an answer still counts as down.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -29,6 +29,8 @@
 	HostDownUntil atomic.Int64
 	// hostDown is set from a refused datagram until the host sends a packet.
 	hostDown atomic.Bool
+	// lastFromHost is when the host last sent a packet.
+	lastFromHost atomic.Int64
 
 	// Admission tracks and limits the load of the host.
 	Admission *Admission
@@ -251,6 +253,7 @@
 
 // FromHost decides on a packet that the agent's host sent or returned.
 func (a *Agent) FromHost(p *Packet, now int64) Verdict {
+	a.lastFromHost.Store(now)
 	if a.hostDown.Load() {
 		a.hostDown.Store(false)
 		a.HostDownUntil.Store(0)
@@ -280,12 +283,18 @@
 const hostDownTime = 200 * time.Millisecond
 
 // HostRefused decides on a packet whose delivery failed because nothing listens
-// at the host's address.
+// at the host's address; now is a time before the delivery. The datagram that was refused
+// is an earlier one. If the host has sent a packet since now, another worker may have
+// reached it after that datagram, so it does not count as down and may have flows.
 func (a *Agent) HostRefused(p *Packet, now int64) Verdict {
+	state := DecodeSearchState(p.Echo)
+	a.countHop(&state, now)
+	if a.lastFromHost.Load() > now {
+		state.Inconclusive = true
+		return a.forwardNext(p, state, now)
+	}
 	a.hostDown.Store(true)
 	a.HostDownUntil.Store(now + int64(hostDownTime))
 	a.Admission.RecordHostDown(now)
-	state := DecodeSearchState(p.Echo)
-	a.countHop(&state, now)
 	return a.forwardNext(p, state, now)
 }
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -184,3 +184,26 @@
 	}
 	f.c.Check(len(counts) >= 10, qt.IsTrue, qt.Commentf("%d members", len(counts)))
 }
+
+// TestLateRefusalResetsNoFlow guards against resets of the flows of a host that is back: one
+// worker learns of a datagram that was refused while the host was down, and before it
+// records that, another worker opens a flow at the host.
+func TestLateRefusalResetsNoFlow(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		f := newFleet(t, targets(1)...)
+		a := f.agents[targets(1)[0].Host.Addr()]
+		refusedAt := f.now
+		if answered {
+			f.advance(time.Millisecond)
+			a.FromHost(&Packet{Key: flowKey(1).Reverse(), Flags: FlagSYN | FlagACK}, f.now)
+		}
+		want := map[bool]Action{false: ActionReset, true: ActionDrop}[answered]
+		echo := SearchState{Service: a.ServiceHash}.Encode()
+		v := a.HostRefused(&Packet{Key: flowKey(2), Flags: FlagACK, Length: 1, Echo: echo}, refusedAt)
+		f.c.Check(v.Action, qt.Equals, want)
+		want = map[bool]Action{false: ActionReset, true: ActionDeliver}[answered]
+		f.advance(time.Millisecond)
+		v = a.FromPeer(&Packet{Key: flowKey(1), Flags: FlagACK, Length: 1, Echo: echo}, f.now)
+		f.c.Check(v.Action, qt.Equals, want)
+	}
+}
