Do not refuse a duplicate of an opening that was forwarded

Cause: a first attempt that arrived again, duplicated by the network or late from a paused entry, was taken for a new flow. The agent forgot to which member it had forwarded the original, queued the duplicate and refused it, although that member's host may have accepted the original.

Test: TestDuplicateOpeningIsNotRefused. Before, the duplicate was refused; now it is not, and an opening without a forwarded copy still is.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -115,9 +115,13 @@
 		return verdict
 	}
 	a.recordArrival(state, now)
-	if p.Attempt() == 0 {
+	if p.Attempt() == 0 && state.Hops == 0 && a.hints.recent(p.Key, now) {
+		// A duplicate, or it is late: the member that got a copy may have accepted it.
+		p.Delayed, state.Inconclusive = true, true
+	} else if p.Attempt() == 0 {
 		a.hints.forget(p.Key, now) // of an earlier flow with the same addresses and ports
-	} else if verdict, ok := a.followOwnerHint(p, state, now); ok {
+	}
+	if verdict, ok := a.followOwnerHint(p, state, now); ok {
 		return verdict
 	}
 	if !a.acceptsOpenings(v, now) || a.refusedByHost(now) {
--- a/internal/relay/ownerhints.go
+++ b/internal/relay/ownerhints.go
@@ -7,6 +7,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/heathergw/heathergw/internal/packet"
+	"github.com/heathergw/heathergw/internal/waitqueue"
 )
 
 const (
@@ -65,6 +66,16 @@
 	return hint.member, known && time.Duration(now-hint.recordedAt) <= ownerHintLifetime
 }
 
+// recent reports whether a copy of an opening was forwarded while its client waits for the
+// answer; clients use no port again within that time.
+func (h *ownerHints) recent(k packet.Key, now int64) bool {
+	if h.empty(now) {
+		return false
+	}
+	hint, known := h.flows.Peek(k)
+	return known && time.Duration(now-hint.recordedAt) < waitqueue.AttemptTimeout
+}
+
 // followOwnerHint forwards a packet to the member to which this agent forwarded the
 // flow's opening, unless the own host has the flow. It reports false if there is no such
 // member or the search relies on visiting the own host.
--- a/internal/relay/worksharing_test.go
+++ b/internal/relay/worksharing_test.go
@@ -437,3 +437,25 @@
 	f.c.Check(opening(1, maxBusyRedirects).Action, qt.Equals, ActionDeliver)
 	f.c.Check(opening(2, 0).Reason, qt.Equals, ReasonOwnHost)
 }
+
+// TestDuplicateOpeningIsNotRefused guards against a refusal of an opening that the network
+// duplicated, or that was late in a paused entry, while another host has a copy that this
+// agent forwarded.
+func TestDuplicateOpeningIsNotRefused(t *testing.T) {
+	list := targets(2)
+	for _, forwarded := range []bool{false, true} {
+		s, _ := newRefusalModel(t, 2)
+		a, other := s.agents[list[1].Host.Addr()], catalog.MemberID(list[0].Host.Addr())
+		if forwarded {
+			a.hints.record(flowKey(1), other, s.now)
+		}
+		for range ReachConfig.SilentAfterProbes { // the duplicate cannot follow the original
+			a.Reach.Probe(other, s.now)
+			s.keepAwake(ReachConfig.AnswerFreshness)
+		}
+		s.fill(list[1].Host.Addr())
+		p := Packet{Key: flowKey(1), Flags: FlagSYN, Service: []byte("booking"), Echo: SearchState{Service: a.ServiceHash}.Encode()}
+		s.c.Assert(a.FromPeer(&p, s.now).Action, qt.Equals, ActionQueue)
+		s.c.Check(s.refuses(a, &p), qt.Equals, !forwarded)
+	}
+}
