--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -29,6 +29,8 @@
 	HostDownUntil atomic.Int64
 	// hostDown is set from a refused datagram until the host sends a packet.
 	hostDown atomic.Bool
+	// lastFromHost is when the host last sent a packet.
+	lastFromHost atomic.Int64
 
 	// Admission tracks and limits the load of the host.
 	Admission *Admission
@@ -74,6 +76,8 @@
 // FromPeer decides on a client's packet that another process forwarded here.
 func (a *Agent) FromPeer(p *Packet, now int64) Verdict {
 	state := p.searchState()
+	// The time that an opening waited is lost when it goes on from here.
+	state.Inconclusive = state.Inconclusive || p.Waited > 0
 	v := a.View.Load()
 	if !a.isForOwnService(p, state) {
 		// The sender's view has another service at this address. Counting the
@@ -111,9 +115,13 @@
 		return verdict
 	}
 	a.recordArrival(state, now)
-	if p.Attempt() == 0 {
+	if p.Attempt() == 0 && state.Hops == 0 && a.hints.recent(p.Key, now) {
+		// A duplicate, or it is late: the member that got a copy may have accepted it.
+		p.Delayed, state.Inconclusive = true, true
+	} else if p.Attempt() == 0 {
 		a.hints.forget(p.Key, now) // of an earlier flow with the same addresses and ports
-	} else if verdict, ok := a.followOwnerHint(p, state, now); ok {
+	}
+	if verdict, ok := a.followOwnerHint(p, state, now); ok {
 		return verdict
 	}
 	if !a.acceptsOpenings(v, now) || a.refusedByHost(now) {
@@ -122,7 +130,9 @@
 	if a.Admission.HostSilentFor(p, now) {
 		return a.bypassSilentHost(p, state, now)
 	}
-	if !a.Admission.Healthy(p.Key, now) {
+	// Whether the host is healthy is asked only if it matters: the answer may use up a trial.
+	avoidable := state.Hops < maxBusyRedirects || v != nil && a.offersWork(v, p.Key)
+	if avoidable && !a.Admission.Healthy(p.Key, now) {
 		if v, ok := a.avoidEjectedHost(v, p, state, now); ok {
 			return v
 		}
@@ -247,6 +257,7 @@
 
 // FromHost decides on a packet that the agent's host sent or returned.
 func (a *Agent) FromHost(p *Packet, now int64) Verdict {
+	a.lastFromHost.Store(now)
 	if a.hostDown.Load() {
 		a.hostDown.Store(false)
 		a.HostDownUntil.Store(0)
@@ -276,12 +287,18 @@
 const hostDownTime = 200 * time.Millisecond
 
 // HostRefused decides on a packet whose delivery failed because nothing listens
-// at the host's address.
+// at the host's address; now is a time before the delivery. The datagram that was refused
+// is an earlier one. If the host has sent a packet since now, another worker may have
+// reached it after that datagram, so it does not count as down and may have flows.
 func (a *Agent) HostRefused(p *Packet, now int64) Verdict {
+	state := DecodeSearchState(p.Echo)
+	a.countHop(&state, now)
+	if a.lastFromHost.Load() > now {
+		state.Inconclusive = true
+		return a.forwardNext(p, state, now)
+	}
 	a.hostDown.Store(true)
 	a.HostDownUntil.Store(now + int64(hostDownTime))
 	a.Admission.RecordHostDown(now)
-	state := DecodeSearchState(p.Echo)
-	a.countHop(&state, now)
 	return a.forwardNext(p, state, now)
 }
--- a/internal/relay/worksharing_test.go
+++ b/internal/relay/worksharing_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/heathergw/heathergw/internal/catalog"
+	"github.com/heathergw/heathergw/internal/outlier"
 	"github.com/heathergw/heathergw/internal/waitqueue"
 	"github.com/heathergw/heathergw/internal/worksharing"
 )
@@ -257,6 +258,114 @@
 	s.c.Check(waited, qt.Equals, time.Duration(0))
 }
 
+// newRefusalModel returns a model whose agents refuse each opening that waits and of which
+// no host may have a copy: the requests take longer than their time-out. The service time
+// is unknown to the agent that offers.
+func newRefusalModel(t *testing.T, hosts int) (s *sharingModel, offering *Agent) {
+	s = newSharingModel(newFleet(t, targets(hosts)...), 1, sharingAim)
+	s.put("configuration", catalog.Record{Configuration: &catalog.Configuration{Version: 3, Routes: []catalog.Route{{
+		Name: "r", Destination: destination, Services: []catalog.WeightedService{{Service: "booking", Weight: 1}},
+		RequestPolicy: catalog.RequestPolicy{TargetLatency: sharingAim, Timeout: 300 * time.Millisecond},
+	}}}})
+	s.distributeView()
+	offering = s.agents[targets(hosts)[0].Host.Addr()]
+	for _, a := range s.agents {
+		a.Admission.SetRoutes(s.view())
+		if a != offering {
+			a.Admission.serviceTime = movingAverage(time.Second)
+		}
+	}
+	return s, offering
+}
+
+// keepAwake advances the time while all agents look at their queues, as a process does that
+// is not paused.
+func (s *sharingModel) keepAwake(d time.Duration) {
+	for end := s.now + int64(d); s.now < end; s.now += int64(10 * time.Millisecond) {
+		for _, a := range s.agents {
+			a.Admission.Dequeue(s.now)
+		}
+	}
+}
+
+// refuses reports whether an agent refuses an opening once it waits there.
+func (s *sharingModel) refuses(a *Agent, p *Packet) bool {
+	a.Enqueue(p, s.now)
+	removed := a.Admission.RemoveUseless(s.now)
+	return len(removed) == 1 && removed[0].Refuse
+}
+
+// TestPulledOpeningIsNotRefusedAfterDelay guards against a refusal by the agent that pulled
+// an opening: the agent that offered it held it or was paused, and a copy may have reached
+// another host in the meantime.
+func TestPulledOpeningIsNotRefusedAfterDelay(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		paused, held   bool
+		refusedAtOther bool
+	}{
+		{name: "no delay", refusedAtOther: true},
+		{name: "offering agent held it", held: true},
+		{name: "offering agent was paused", paused: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, offering := newRefusalModel(t, 2)
+			other := s.agents[targets(2)[1].Host.Addr()]
+			s.keepAwake(200 * time.Millisecond)
+			if test.paused {
+				delete(s.agents, targets(2)[0].Host.Addr())
+				s.keepAwake(500 * time.Millisecond)
+			}
+			p := Packet{Key: flowKey(1), Flags: FlagSYN, Datagram: []byte{0}, Delayed: test.held}
+			offering.Enqueue(&p, s.now)
+			b, waited, delayed := offering.TakeForPull(s.now)
+			s.c.Assert(b, qt.IsNotNil)
+			m := s.view().Member(other.ID, "booking")
+			p = Packet{Key: flowKey(1), Flags: FlagSYN, Delayed: delayed}
+			v := offering.ForPull(&p, m, waited, s.now)
+			pulled := Packet{Key: flowKey(1), Flags: FlagSYN, Echo: v.State.Encode(), Waited: v.Waited}
+			s.c.Check(s.refuses(other, &pulled), qt.Equals, test.refusedAtOther)
+		})
+	}
+}
+
+// TestPulledOpeningIsNotRefusedElsewhere guards against a refusal, or a reset at the end of
+// the search, by an agent that gets an opening from the one that pulled it and does not know
+// how long it waited before: its copies are under way by then.
+func TestPulledOpeningIsNotRefusedElsewhere(t *testing.T) {
+	const waited = copyMargin - time.Millisecond
+	for _, test := range []struct {
+		name string
+		// pass returns what the agent that pulled the opening decides in the end.
+		pass func(a *Agent, p *Packet, now int64) Verdict
+	}{
+		{"host returns it", func(a *Agent, p *Packet, now int64) Verdict {
+			p.Echo = a.FromPeer(p, now).State.Encode()
+			return a.FromHost(&Packet{Key: p.Key, Flags: FlagSYN | FlagReturned, Echo: p.Echo}, now)
+		}},
+		{"host is down", func(a *Agent, p *Packet, now int64) Verdict {
+			a.HostRefused(&Packet{Key: flowKey(2), Flags: FlagACK}, now)
+			return a.FromPeer(p, now)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, _ := newRefusalModel(t, 3)
+			s.keepAwake(200 * time.Millisecond)
+			for _, target := range targets(3)[1:] {
+				pulled := Packet{Key: flowKey(1), Flags: FlagSYN, Service: []byte("booking"), Waited: waited}
+				v := test.pass(s.agents[target.Host.Addr()], &pulled, s.now)
+				if v.Action != ActionForward {
+					s.c.Check(v.Action, qt.Equals, ActionDrop)
+					continue
+				}
+				next := s.agents[v.To.Addr()]
+				next.Admission.serviceTime = movingAverage(time.Second)
+				s.c.Check(s.refuses(next, &Packet{Key: flowKey(1), Flags: FlagSYN, Echo: v.State.Encode()}), qt.IsFalse)
+			}
+		})
+	}
+}
+
 // playLoad plays 10 s of openings on 12 hosts at a share of their capacity, and returns the
 // share of the requests that are answered within sharingAim, and the messages that an agent
 // sends in a second.
@@ -308,3 +417,45 @@
 		}
 	}
 }
+
+// TestForcedOpeningUsesNoTrial guards against a change for routes without a target latency:
+// an opening that a host on trial gets after three redirects uses up the trial, and the
+// opening that would show that the host is back goes elsewhere.
+func TestForcedOpeningUsesNoTrial(t *testing.T) {
+	f := newFleet(t, targets(6)...)
+	a := f.agents[targets(6)[0].Host.Addr()]
+	for range 10 {
+		a.Admission.health.Failed(f.now)
+	}
+	f.c.Assert(a.Admission.health.State(), qt.Equals, outlier.Ejected)
+	f.advance(time.Minute) // longer than the ejection
+	f.distributeView()
+	opening := func(client, hops int) Verdict {
+		state := SearchState{Hops: hops, Service: a.ServiceHash}
+		return a.FromPeer(&Packet{Key: flowKey(client), Flags: FlagSYN, Service: []byte("booking"), Echo: state.Encode()}, f.now)
+	}
+	f.c.Check(opening(1, maxBusyRedirects).Action, qt.Equals, ActionDeliver)
+	f.c.Check(opening(2, 0).Reason, qt.Equals, ReasonOwnHost)
+}
+
+// TestDuplicateOpeningIsNotRefused guards against a refusal of an opening that the network
+// duplicated, or that was late in a paused entry, while another host has a copy that this
+// agent forwarded.
+func TestDuplicateOpeningIsNotRefused(t *testing.T) {
+	list := targets(2)
+	for _, forwarded := range []bool{false, true} {
+		s, _ := newRefusalModel(t, 2)
+		a, other := s.agents[list[1].Host.Addr()], catalog.MemberID(list[0].Host.Addr())
+		if forwarded {
+			a.hints.record(flowKey(1), other, s.now)
+		}
+		for range ReachConfig.SilentAfterProbes { // the duplicate cannot follow the original
+			a.Reach.Probe(other, s.now)
+			s.keepAwake(ReachConfig.AnswerFreshness)
+		}
+		s.fill(list[1].Host.Addr())
+		p := Packet{Key: flowKey(1), Flags: FlagSYN, Service: []byte("booking"), Echo: SearchState{Service: a.ServiceHash}.Encode()}
+		s.c.Assert(a.FromPeer(&p, s.now).Action, qt.Equals, ActionQueue)
+		s.c.Check(s.refuses(a, &p), qt.Equals, !forwarded)
+	}
+}
