--- a/test/e2e/relay_test.go
+++ b/test/e2e/relay_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -69,9 +70,23 @@
 	}
 }
 
+// awaitEvacuated waits until the process shows exactly the given data centres as evacuated.
+func awaitEvacuated(c *qt.C, p *process, want ...string) {
+	var got []string
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		status, err := p.status()
+		c.Assert(err, qt.IsNil)
+		if got = status.Store.Evacuated; slices.Equal(got, want) {
+			return
+		}
+	}
+	c.Fatalf("evacuated: %v, want %v", got, want)
+}
+
 // Guards against an entry that reports readiness without a configuration or
-// during a planned stop, that exits on SIGHUP or truncated settings, or that
-// does not exit within the grace time.
+// during a planned stop, that exits on SIGHUP or truncated settings, that
+// does not take an evacuation into force or does not end it, or that does not exit within
+// the grace time.
 func TestRelayReadinessSignalsAndSettings(t *testing.T) {
 	c := qt.New(t)
 	s := platformtest.NewStore()
@@ -84,6 +99,12 @@
 	c.Check(status.Sequence, qt.Equals, s.Revision())
 	c.Check(len(status.Audit) > 0, qt.IsTrue)
 
+	// An evacuation is in force in the running process, and ends.
+	s.Put("op/evacuate/a", []byte("{}"))
+	awaitEvacuated(c, p, "a")
+	s.Delete("op/evacuate/a")
+	awaitEvacuated(c, p)
+
 	p.signal(syscall.SIGHUP)
 	awaitLog(c, p, `"settings read again"`)
 	settings, err := os.ReadFile(p.path(".jsonc"))
