--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -446,17 +446,6 @@
 	return s.record.Target
 }
 
-// evacuated returns the data centre whose evacuation the item requests, or an empty
-// string; s may be nil.
-func (s *storedItem) evacuated() string {
-	if s == nil {
-		return ""
-	}
-	return s.record.Evacuated
-}
-
-func evacuationSubject(dataCentre string) string { return "evacuation of " + dataCentre }
-
 // version returns the version of the configuration that the item defines, or 0.
 func (s *storedItem) version() uint64 {
 	if s.record.Configuration == nil {
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -316,28 +315,6 @@
 	}
 }
 
-// evacuated returns the data centres for which an evacuation is in force.
-func (c *Catalog) evacuated() map[string]bool {
-	result := map[string]bool{}
-	for key := range c.items {
-		if dataCentre := c.current(key).evacuated(); dataCentre != "" {
-			result[dataCentre] = true
-		}
-	}
-	for key := range c.lost {
-		if dataCentre := c.current(key).evacuated(); dataCentre != "" {
-			result[dataCentre] = true
-		}
-	}
-	return result
-}
-
-// Evacuated reports whether the targets of a data centre get no openings.
-func (v *View) Evacuated(dataCentre string) bool { return v.evacuated[dataCentre] }
-
-// EvacuatedDataCentres returns the evacuated data centres in order.
-func (v *View) EvacuatedDataCentres() []string { return slices.Sorted(maps.Keys(v.evacuated)) }
-
 // Route returns the route of a destination, or nil if there is none.
 func (v *View) Route(destination netip.AddrPort) *RouteView { return v.routes[destination] }
 
